--- /dev/null
+++ b/packages/agents/agent_service.cpp
@@ -0,0 +1,379 @@
+#include "agents/agent_service.hpp"
+
+#include "core/event_log.hpp"
+#include "jobs/row_codec.hpp"
+#include "rows/row_layout.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace sequoiaroute::agents {
+
+namespace {
+
+constexpr core::duration tick_period{100};
+/// How often an unchanged report is written, to show that the agent is there.
+constexpr core::duration report_period{1500};
+constexpr core::duration hold_wait{1000};
+constexpr core::duration report_timeout{1000};
+constexpr core::duration retry_delay{150};
+/// Connections refused on this machine for so long: the executor has ended.
+constexpr core::duration gone_after{1500};
+/// Slowest clock that an executor may have, as a share of true time.
+constexpr double slowest_clock = 1.02;
+/// An executor that could not be reached runs nothing so long after its lease.
+constexpr core::duration lapse_slack{1500};
+
+} // namespace
+
+agent_service::agent_service(rows::row_store& store,
+                             event::timer_service& timers,
+                             executor_runtime& runtime, options settings)
+    : store_(store), timers_(timers), runtime_(runtime),
+      options_(std::move(settings)),
+      orders_(store, timers,
+              {rows::layout::order_table_of(options_.agent),
+               core::duration(2000), core::duration(0),
+               rows::layout::order_prefix(options_.agent)},
+              [this](rows::row const& changed) { receive_order(changed); },
+              [this] { serve(); })
+{
+}
+
+void agent_service::start()
+{
+    load_report();
+}
+
+void agent_service::load_report()
+{
+    auto const key = rows::layout::report_row(options_.agent);
+    std::weak_ptr<bool> const alive = alive_;
+    store_.read(
+        {key.table, key.part, key.key, key.key + '\0', 1},
+        [this, alive](rows::page const& page) {
+            if (alive.expired())
+                return;
+            if (!page.is_ok) {
+                load_timer_ =
+                    timers_.after(retry_delay, [this] { load_report(); });
+                return;
+            }
+            if (!page.rows.empty()) {
+                report_version_ = page.rows[0].version;
+                current_report_ = page.rows[0].value;
+            }
+            orders_.start();
+        });
+}
+
+void agent_service::receive_order(rows::row const& changed)
+{
+    auto const& text =
+        changed.is_removed ? orders_.rows().at(changed.key).value
+                           : changed.value;
+    auto order = jobs::decode_order(text);
+    if (!core::is_ok(order)) {
+        core::log_event("row_unreadable",
+                        {{"key", changed.key.key},
+                         {"fault", core::failure(order).message}});
+        return;
+    }
+    if (changed.is_removed)
+        book_.remove(core::value(order).run);
+    else
+        book_.put(core::value(std::move(order)), !is_serving_);
+}
+
+void agent_service::serve()
+{
+    if (!is_serving_) {
+        is_serving_ = true;
+        auto const known = jobs::decode_report(current_report_);
+        if (core::is_ok(known)) {
+            auto const& report = core::value(known);
+            if (worker_.executor.id.empty())
+                update_executor(report.worker);
+            for (auto const& ended : report.ended)
+                book_.restore_end(ended);
+        }
+        core::log_event("agent_ready",
+                        {{"executor", worker_.executor.id},
+                         {"orders", static_cast<std::int64_t>(
+                                        orders_.rows().size())}});
+        tick_timer_ = timers_.every(tick_period, [this] {
+            act();
+            hold();
+            publish_if_due();
+        });
+    }
+    act();
+    hold();
+}
+
+void agent_service::receive_heartbeat(jobs::worker_description worker,
+                                      std::int64_t sequence)
+{
+    bool const is_same = worker.executor == worker_.executor;
+    // A delayed message of an earlier life, or of an earlier moment.
+    if (worker.executor.born_ms < worker_.executor.born_ms ||
+        (is_same && sequence <= sequence_ && sequence_ > 0))
+        return;
+    if (is_same && worker_.state == jobs::worker_state::gone)
+        return;
+    sequence_ = sequence;
+    update_executor(std::move(worker));
+    if (is_serving_) {
+        act();
+        publish_if_due();
+    }
+}
+
+void agent_service::receive_goodbye(std::string const& executor_id)
+{
+    if (executor_id != worker_.executor.id)
+        return;
+    auto ended = worker_;
+    ended.state = jobs::worker_state::gone;
+    update_executor(std::move(ended));
+    if (is_serving_)
+        publish_if_due();
+}
+
+void agent_service::update_executor(jobs::worker_description worker)
+{
+    bool const is_new = worker.executor != worker_.executor;
+    bool const has_new_state = worker.state != worker_.state;
+    if (is_new) {
+        acknowledged_ = 0;
+        highest_listed_ = 0;
+        clock_read_at_ = {};
+        refused_since_.reset();
+    }
+    if (is_new || has_new_state || worker.capacity != worker_.capacity) {
+        is_report_urgent_ = true;
+        core::log_event(
+            is_new ? "executor_joined" : "executor_changed",
+            {{"executor", worker.executor.id},
+             {"born_ms", worker.executor.born_ms},
+             {"state", static_cast<std::int64_t>(worker.state)},
+             {"remaining_ms", worker.remaining.count()}});
+    }
+    worker_ = std::move(worker);
+    book_.set_executor(worker_);
+}
+
+void agent_service::act()
+{
+    for (auto const& action : book_.next_actions(timers_.now()))
+        send(action);
+    if (book_.end_count() != published_ends_)
+        publish_if_due();
+}
+
+void agent_service::send(run_book::action const& action)
+{
+    std::weak_ptr<bool> const alive = alive_;
+    auto const receive = [this, alive, action](order_reply const& reply) {
+        if (alive.expired())
+            return;
+        if (reply.clock_ms)
+            note_clock(*reply.clock_ms);
+        core::log_event(
+            action.what == run_book::action::kind::start ? "start_answered"
+                                                         : "stop_answered",
+            {{"run", to_text(action.order.run)},
+             {"outcome", static_cast<std::int64_t>(reply.outcome)},
+             {"reason", reply.reason}});
+        book_.receive_answer(action, reply, timers_.now());
+        act_timer_ = timers_.after(core::duration(0), [this] { act(); });
+    };
+    if (action.what == run_book::action::kind::start)
+        runtime_.start(action.order, lease_end_ms(), receive);
+    else
+        runtime_.stop(action.order, receive);
+}
+
+void agent_service::note_clock(std::int64_t clock_ms)
+{
+    clock_ms_ = clock_ms;
+    clock_read_at_ = timers_.now();
+}
+
+std::int64_t agent_service::lease_end_ms() const
+{
+    auto const passed = timers_.now() - clock_read_at_;
+    return clock_ms_ + passed.count() + options_.lease.count();
+}
+
+bool agent_service::may_extend_lease() const
+{
+    return store_contact_at_ && timers_.now() - *store_contact_at_ <
+                                    options_.lease_without_store;
+}
+
+void agent_service::hold()
+{
+    if (is_holding_ || !is_serving_ || worker_.executor.id.empty() ||
+        worker_.state == jobs::worker_state::gone ||
+        timers_.now() < hold_allowed_at_)
+        return;
+    is_holding_ = true;
+    auto const asked_at = timers_.now();
+    bool const has_clock = clock_read_at_ != core::time_point{};
+    std::optional<std::int64_t> lease_end;
+    if (has_clock && may_extend_lease()) {
+        lease_end = lease_end_ms();
+        last_extended_at_ = asked_at;
+    }
+    std::weak_ptr<bool> const alive = alive_;
+    // The first call of all learns the clock and must not wait.
+    runtime_.hold(acknowledged_, lease_end,
+                  has_clock ? hold_wait : core::duration(0),
+                  [this, alive, asked_at](executor_lists const& lists) {
+                      if (alive.expired())
+                          return;
+                      is_holding_ = false;
+                      if (lists.is_ok)
+                          receive_lists(lists, asked_at);
+                      else
+                          receive_silence(lists.is_refused);
+                  });
+}
+
+void agent_service::receive_lists(executor_lists const& lists,
+                                  core::time_point asked_at)
+{
+    refused_since_.reset();
+    note_clock(lists.clock_ms);
+    if (lists.born_ms != worker_.executor.born_ms) {
+        // A new life that has not announced itself yet.
+        hold_allowed_at_ = timers_.now() + retry_delay;
+        return;
+    }
+    book_.receive(lists, asked_at);
+    for (auto const& end : lists.ended)
+        highest_listed_ = std::max(highest_listed_, end.number);
+    stop_unordered();
+    act();
+    publish_if_due();
+    // Ends stay listed until the report is stored; asking again at once would
+    // only show them again.
+    if (highest_listed_ > acknowledged_)
+        hold_allowed_at_ = timers_.now() + core::duration(30);
+    hold_timer_ = timers_.after(
+        std::max(hold_allowed_at_ - timers_.now(), core::duration(0)),
+        [this] { hold(); });
+}
+
+void agent_service::receive_silence(bool is_refused)
+{
+    hold_allowed_at_ = timers_.now() + retry_delay;
+    auto const now = timers_.now();
+    if (!is_refused) {
+        refused_since_.reset();
+    } else if (!refused_since_) {
+        refused_since_ = now;
+    }
+    auto const longest_lease =
+        core::duration(static_cast<std::int64_t>(
+            static_cast<double>(options_.lease.count()) * slowest_clock)) +
+        lapse_slack;
+    bool const has_ended =
+        (refused_since_ && now - *refused_since_ > gone_after) ||
+        (last_extended_at_ != core::time_point{} &&
+         now - last_extended_at_ > longest_lease && !is_refused &&
+         !may_extend_lease());
+    if (has_ended)
+        receive_goodbye(worker_.executor.id);
+}
+
+void agent_service::stop_unordered()
+{
+    for (auto const& run : book_.unordered()) {
+        jobs::run_order order;
+        order.run = run;
+        order.executor = worker_.executor;
+        core::log_event("unordered_run_stopped", {{"run", to_text(run)}});
+        runtime_.stop(order, [](order_reply const&) {
+            // The next lists show whether it has ended.
+        });
+    }
+}
+
+jobs::worker_report agent_service::make_report() const
+{
+    return {options_.agent, worker_, book_.running(), book_.ended()};
+}
+
+void agent_service::publish_if_due()
+{
+    if (is_publishing_ || worker_.executor.id.empty() || !is_serving_)
+        return;
+    bool const has_new_end = book_.end_count() != published_ends_;
+    bool const has_new_list = highest_listed_ > acknowledged_;
+    if (has_new_end || has_new_list || is_report_urgent_ ||
+        timers_.now() - published_at_ >= report_period)
+        publish();
+}
+
+void agent_service::publish()
+{
+    is_publishing_ = true;
+    is_report_urgent_ = false;
+    publishing_ends_ = book_.end_count();
+    publish_started_at_ = timers_.now();
+    current_report_ = jobs::encode(make_report());
+    auto const key = rows::layout::report_row(options_.agent);
+    rows::transaction changes;
+    changes.conditions.push_back({key, report_version_});
+    changes.writes.push_back({key, current_report_});
+    auto const acknowledged = highest_listed_;
+    std::weak_ptr<bool> const alive = alive_;
+    store_.commit(std::move(changes), report_timeout,
+                  [this, alive,
+                   acknowledged](rows::commit_result const& result) {
+                      if (!alive.expired())
+                          receive_published(result, acknowledged);
+                  });
+}
+
+void agent_service::receive_published(rows::commit_result const& result,
+                                      std::int64_t acknowledged)
+{
+    is_publishing_ = false;
+    auto const started_at = publish_started_at_;
+    bool is_written = result.outcome == rows::commit_outcome::committed;
+    if (is_written)
+        report_version_ = result.version;
+    if (result.outcome == rows::commit_outcome::conflict) {
+        report_version_ = rows::no_row;
+        for (auto const& row : result.current) {
+            report_version_ = row.version;
+            // An earlier sending took effect although its answer was lost.
+            is_written = row.value == current_report_;
+        }
+    }
+    if (!is_written) {
+        is_report_urgent_ = true;
+        if (result.outcome != rows::commit_outcome::conflict) {
+            // Paced, since refused calls count against the store's rates.
+            is_publishing_ = true;
+            load_timer_ = timers_.after(retry_delay, [this] {
+                is_publishing_ = false;
+                publish_if_due();
+            });
+        } else {
+            publish_if_due();
+        }
+        return;
+    }
+    store_contact_at_ = started_at;
+    published_at_ = timers_.now();
+    published_ends_ = publishing_ends_;
+    acknowledged_ = std::max(acknowledged_, acknowledged);
+    publish_if_due();
+    hold();
+}
+
+} // namespace sequoiaroute::agents
--- /dev/null
+++ b/packages/agents/agent_service.hpp
@@ -0,0 +1,109 @@
+#pragma once
+
+#include "agents/executor_runtime.hpp"
+#include "agents/run_book.hpp"
+#include "event/timer_service.hpp"
+#include "jobs/worker_report.hpp"
+#include "rows/row_store.hpp"
+#include "rows/table_replica.hpp"
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace sequoiaroute::agents {
+
+/// The agent beside an executor: carries out the orders in the store, keeps
+/// the executor's lease while the store knows that the agent is there, and
+/// reports how the runs go. An end is acknowledged to the executor only after
+/// the report that lists it is stored.
+class agent_service
+{
+public:
+    struct options
+    {
+        std::string agent; ///< name of this agent, unique in the fleet
+        /// The longest lease that the executor grants.
+        core::duration lease{6000};
+        /// How long leases are extended after the last stored report. It
+        /// carries running work through outages of the store; the decider
+        /// waits for longer before it takes a silent worker for lost.
+        core::duration lease_without_store{10'000};
+    };
+
+    agent_service(rows::row_store& store, event::timer_service& timers,
+                  executor_runtime& runtime, options settings);
+
+    /// Begins: reads the orders and the last report, then serves.
+    void start();
+
+    /// Takes note of what the executor says of itself.
+    /// @param worker what it says
+    /// @param sequence rises with each message of one life
+    void receive_heartbeat(jobs::worker_description worker,
+                           std::int64_t sequence);
+
+    /// The executor has ended.
+    void receive_goodbye(std::string const& executor_id);
+
+private:
+    void load_report();
+    void receive_order(rows::row const& changed);
+    void serve();
+    void act();
+    void send(run_book::action const& action);
+    void hold();
+    void receive_lists(executor_lists const& lists, core::time_point asked_at);
+    void receive_silence(bool is_refused);
+    void stop_unordered();
+    void update_executor(jobs::worker_description worker);
+
+    void publish_if_due();
+    void publish();
+    void receive_published(rows::commit_result const& result,
+                           std::int64_t acknowledged);
+    jobs::worker_report make_report() const;
+    std::int64_t lease_end_ms() const;
+    bool may_extend_lease() const;
+    void note_clock(std::int64_t clock_ms);
+
+    rows::row_store& store_;
+    event::timer_service& timers_;
+    executor_runtime& runtime_;
+    options options_;
+    rows::table_replica orders_;
+    run_book book_;
+    jobs::worker_description worker_;
+    std::int64_t sequence_ = 0;
+    bool is_serving_ = false;
+
+    // The executor's clock.
+    std::int64_t clock_ms_ = 0;
+    core::time_point clock_read_at_{};
+
+    bool is_holding_ = false;
+    std::optional<core::time_point> refused_since_;
+    core::time_point hold_allowed_at_{};
+    core::time_point last_extended_at_{};
+    std::int64_t acknowledged_ = 0;
+    std::int64_t highest_listed_ = 0;
+
+    // The report in the store.
+    rows::row_version report_version_ = rows::no_row;
+    std::string current_report_;
+    bool is_publishing_ = false;
+    bool is_report_urgent_ = true;
+    std::uint64_t published_ends_ = 0;
+    std::uint64_t publishing_ends_ = 0;
+    core::time_point published_at_{};
+    core::time_point publish_started_at_{};
+    std::optional<core::time_point> store_contact_at_;
+
+    std::unique_ptr<event::timer> tick_timer_;
+    std::unique_ptr<event::timer> load_timer_;
+    std::unique_ptr<event::timer> hold_timer_;
+    std::unique_ptr<event::timer> act_timer_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace sequoiaroute::agents
--- a/packages/core/settings.cpp
+++ b/packages/core/settings.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <charconv>
+#include <cmath>
 #include <fstream>
 #include <optional>
 #include <sstream>
@@ -34,20 +35,34 @@
     return number;
 }
 
+/// Parses a number such as "2" or "1.5".
+std::optional<double> parse_decimal(std::string_view text)
+{
+    double number = 0;
+    auto const* const end = text.data() + text.size();
+    auto const outcome = std::from_chars(text.data(), end, number,
+                                         std::chars_format::fixed);
+    if (outcome.ec != std::errc() || outcome.ptr != end || number < 0)
+        return std::nullopt;
+    return number;
+}
+
 template <std::size_t Count>
 std::optional<std::int64_t> parse_with_unit(std::string_view text,
                                             unit const (&units)[Count])
 {
-    auto const digits_end = text.find_first_not_of("0123456789");
+    auto const digits_end = text.find_first_not_of("0123456789.");
     if (digits_end == std::string_view::npos)
         return std::nullopt;
-    auto const number = parse_number(text.substr(0, digits_end));
+    auto const number = parse_decimal(text.substr(0, digits_end));
     if (!number)
         return std::nullopt;
     auto const unit_name = text.substr(digits_end);
     for (auto const& candidate : units) {
-        if (candidate.name == unit_name)
-            return *number * candidate.factor;
+        if (candidate.name == unit_name) {
+            return std::llround(*number *
+                                static_cast<double>(candidate.factor));
+        }
     }
     return std::nullopt;
 }
--- a/packages/core/settings.hpp
+++ b/packages/core/settings.hpp
@@ -16,7 +16,7 @@
 {
     text,
     integer,      ///< decimal, not negative
-    time,         ///< number with unit ms, s, min or h
+    time,         ///< number, decimals allowed, with unit ms, s, min or h
     size,         ///< number with unit B, KB, MB or GB
     address,      ///< IP:PORT
     address_list, ///< IP:PORT separated by commas; may be empty
--- /dev/null
+++ b/packages/gateway/job_directory.cpp
@@ -0,0 +1,106 @@
+#include "gateway/job_directory.hpp"
+
+#include "core/event_log.hpp"
+#include "jobs/row_codec.hpp"
+#include "rows/row_layout.hpp"
+
+#include <algorithm>
+
+namespace sequoiaroute::gateway {
+
+namespace {
+
+std::optional<std::string> id_after(std::string_view prefix,
+                                    std::string const& key)
+{
+    if (!key.starts_with(prefix))
+        return std::nullopt;
+    return key.substr(prefix.size());
+}
+
+void log_unreadable(rows::row const& changed, core::error const& fault)
+{
+    core::log_event("row_unreadable", {{"key", changed.key.key},
+                                       {"fault", fault.message}});
+}
+
+} // namespace
+
+void job_directory::observe(rows::row const& changed)
+{
+    auto const& key = changed.key.key;
+    if (auto const id = id_after(rows::layout::job_prefix, key)) {
+        observe_submission(*id, changed);
+    } else if (auto const id = id_after(rows::layout::progress_prefix, key)) {
+        observe_progress(*id, changed);
+    } else if (auto const id = id_after(rows::layout::cancel_prefix, key)) {
+        jobs_[*id].is_cancelled = !changed.is_removed;
+        erase_if_unknown(*id);
+    }
+}
+
+void job_directory::observe_submission(std::string const& id,
+                                       rows::row const& changed)
+{
+    auto& job = jobs_[id];
+    job.is_submitted = false;
+    if (!changed.is_removed) {
+        auto const submission = jobs::decode_submission(changed.value);
+        if (core::is_ok(submission)) {
+            job.is_submitted = true;
+            job.queue = core::value(submission).terms.queue;
+            job.is_repeated = core::value(submission).spec.is_repeated();
+        } else {
+            log_unreadable(changed, core::failure(submission));
+        }
+    }
+    erase_if_unknown(id);
+}
+
+void job_directory::observe_progress(std::string const& id,
+                                     rows::row const& changed)
+{
+    auto& job = jobs_[id];
+    job.has_started = false;
+    job.state = jobs::job_state::queued;
+    if (!changed.is_removed) {
+        auto const progress = jobs::decode_progress(changed.value);
+        if (core::is_ok(progress)) {
+            job.has_started = core::value(progress).has_started;
+            job.state = core::value(progress).state;
+        } else {
+            log_unreadable(changed, core::failure(progress));
+        }
+    }
+    erase_if_unknown(id);
+}
+
+void job_directory::erase_if_unknown(std::string const& id)
+{
+    auto const& job = jobs_[id];
+    if (!job.is_submitted && !job.is_cancelled && !job.has_started &&
+        job.state == jobs::job_state::queued)
+        jobs_.erase(id);
+}
+
+std::optional<job_directory::known_job>
+job_directory::find(std::string const& job_id) const
+{
+    auto const found = jobs_.find(job_id);
+    if (found == jobs_.end() || !found->second.is_submitted)
+        return std::nullopt;
+    return found->second;
+}
+
+std::size_t job_directory::pending(std::string const& queue) const
+{
+    return static_cast<std::size_t>(
+        std::count_if(jobs_.begin(), jobs_.end(), [&](auto const& entry) {
+            auto const& job = entry.second;
+            return job.is_submitted && job.queue == queue &&
+                   !job.is_repeated && !job.has_started &&
+                   !job.is_cancelled && !jobs::is_final(job.state);
+        }));
+}
+
+} // namespace sequoiaroute::gateway
--- /dev/null
+++ b/packages/jobs/job_spec.hpp
@@ -0,0 +1,106 @@
+#pragma once
+
+#include "core/clock.hpp"
+#include "jobs/resources.hpp"
+
+#include <cstdint>
+#include <string>
+#include <vector>
+
+namespace sequoiaroute::jobs {
+
+/// A set of equal tasks within a job.
+struct step_spec
+{
+    std::int32_t task_count = 1;
+    resources task;
+    /// The customer's estimate of one task's run time; may be far off.
+    core::duration estimate{0};
+    /// Steps whose tasks must all be done before this one begins.
+    std::vector<std::int32_t> after;
+    /// The tasks run only together.
+    bool is_gang = false;
+    /// The tasks are slowed down unless all of them run on one rack.
+    bool is_rack_local = false;
+    /// The tasks save their progress, and can go on from it.
+    bool has_checkpoints = false;
+    /// Each task may run in several copies.
+    bool is_speculative = false;
+    /// The tasks run until the job is cancelled.
+    bool is_long_running = false;
+    /// A label that the worker must have; empty for any worker.
+    std::string required_label;
+    /// The rack of the data; elsewhere the tasks are slowed down.
+    std::string data_rack;
+    /// How many tasks of the step one worker may run; 0 for any number.
+    std::int32_t max_per_worker = 0;
+};
+
+/// A job as the customer describes it.
+struct job_spec
+{
+    /// Passed on to the tasks as it is.
+    std::string payload;
+    std::vector<step_spec> steps;
+    /// How many times the steps run at set times; 0 for once, at once.
+    std::int64_t repeats = 0;
+    /// The first set time, in milliseconds since 1970.
+    std::int64_t first_due_ms = 0;
+    core::duration interval{0};
+
+    bool is_repeated() const { return repeats > 0; }
+    std::int64_t occurrences() const { return is_repeated() ? repeats : 1; }
+};
+
+/// What the queue's rules say of a job at the time when it was accepted.
+struct queue_terms
+{
+    std::string queue;
+    std::string service; ///< whose workers run the tasks
+    /// 0 goes first, and may preempt the others.
+    std::int32_t priority = 0;
+    /// How many failed runs of a task end the job.
+    std::int32_t max_attempts = 1;
+    /// The completion objective is this many times the run time...
+    double objective_factor = 1;
+    /// ... and this much more.
+    core::duration objective_slack{0};
+};
+
+/// An accepted job.
+struct submission
+{
+    std::string job_id;
+    std::string customer;
+    queue_terms terms;
+    job_spec spec;
+};
+
+/// Names a task.
+struct task_id
+{
+    std::string job_id;
+    std::int64_t occurrence = 0;
+    std::int32_t step = 0;
+    std::int32_t index = 0;
+
+    auto operator<=>(task_id const&) const = default;
+};
+
+/// Names a run of a task. The runs of a task are numbered upwards from 1; the
+/// members of a gang have the same number.
+struct run_id
+{
+    task_id task;
+    std::int64_t run = 0;
+
+    auto operator<=>(run_id const&) const = default;
+};
+
+/// @return the text of a run in row keys and log lines, such as "job.0.1.3/2"
+std::string to_text(run_id const& run);
+
+/// @return the text of a task, such as "job.0.1.3"
+std::string to_text(task_id const& task);
+
+} // namespace sequoiaroute::jobs
--- /dev/null
+++ b/packages/jobs/row_codec.cpp
@@ -0,0 +1,325 @@
+#include "jobs/row_codec.hpp"
+
+#include "core/codec.hpp"
+
+namespace sequoiaroute::jobs {
+
+namespace {
+
+using core::json;
+
+std::string dump(json const& document)
+{
+    // Customers' payloads may hold bytes that are not UTF-8; rows must be.
+    return document.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+template <class Value, class Convert>
+core::result<Value> decode(std::string_view text, Convert convert)
+{
+    try {
+        return convert(json::parse(text));
+    } catch (json::exception const& exception) {
+        return core::error{core::result_code::bad_request, exception.what()};
+    }
+}
+
+json to_json(resources const& value)
+{
+    return {value.millicores, value.memory_mb, value.accelerators};
+}
+
+resources resources_from(json const& document)
+{
+    return {document.at(0), document.at(1), document.at(2)};
+}
+
+json to_json(step_spec const& step)
+{
+    json document{{"count", step.task_count},
+                  {"task", to_json(step.task)},
+                  {"estimate_ms", step.estimate.count()}};
+    if (!step.after.empty())
+        document["after"] = step.after;
+    if (step.is_gang)
+        document["gang"] = true;
+    if (step.is_rack_local)
+        document["rack_local"] = true;
+    if (step.has_checkpoints)
+        document["checkpoints"] = true;
+    if (step.is_speculative)
+        document["speculative"] = true;
+    if (step.is_long_running)
+        document["long_running"] = true;
+    if (!step.required_label.empty())
+        document["label"] = step.required_label;
+    if (!step.data_rack.empty())
+        document["data_rack"] = step.data_rack;
+    if (step.max_per_worker > 0)
+        document["max_per_worker"] = step.max_per_worker;
+    return document;
+}
+
+step_spec step_from(json const& document)
+{
+    step_spec step;
+    step.task_count = document.at("count");
+    step.task = resources_from(document.at("task"));
+    step.estimate = core::duration(document.at("estimate_ms"));
+    step.after = document.value("after", std::vector<std::int32_t>());
+    step.is_gang = document.value("gang", false);
+    step.is_rack_local = document.value("rack_local", false);
+    step.has_checkpoints = document.value("checkpoints", false);
+    step.is_speculative = document.value("speculative", false);
+    step.is_long_running = document.value("long_running", false);
+    step.required_label = document.value("label", "");
+    step.data_rack = document.value("data_rack", "");
+    step.max_per_worker = document.value("max_per_worker", 0);
+    return step;
+}
+
+json to_json(run_id const& run)
+{
+    return {run.task.job_id, run.task.occurrence, run.task.step,
+            run.task.index, run.run};
+}
+
+run_id run_from(json const& document)
+{
+    return {{document.at(0), document.at(1), document.at(2), document.at(3)},
+            document.at(4)};
+}
+
+json to_json(task_progress const& task)
+{
+    return {task.is_done ? 1 : 0, task.failures, task.last_run,
+            task.checkpoint};
+}
+
+task_progress task_from(json const& document)
+{
+    return {document.at(0).get<int>() != 0, document.at(1), document.at(2),
+            document.at(3)};
+}
+
+json to_json(occurrence_progress const& occurrence)
+{
+    json steps = json::array();
+    for (auto const& step : occurrence.steps) {
+        json tasks = json::array();
+        for (auto const& task : step)
+            tasks.push_back(to_json(task));
+        steps.push_back(std::move(tasks));
+    }
+    return steps;
+}
+
+occurrence_progress occurrence_from(json const& document)
+{
+    occurrence_progress occurrence;
+    for (auto const& step : document) {
+        auto& tasks = occurrence.steps.emplace_back();
+        for (auto const& task : step)
+            tasks.push_back(task_from(task));
+    }
+    return occurrence;
+}
+
+job_state state_from(std::string const& text)
+{
+    for (auto const state :
+         {job_state::running, job_state::completed, job_state::failed,
+          job_state::cancelled}) {
+        if (name(state) == text)
+            return state;
+    }
+    return job_state::queued;
+}
+
+std::string_view name(worker_state state)
+{
+    switch (state) {
+    case worker_state::ready:
+        return "ready";
+    case worker_state::draining:
+        return "draining";
+    case worker_state::gone:
+        return "gone";
+    }
+    return "gone";
+}
+
+worker_state worker_state_from(std::string const& text)
+{
+    if (text == "ready")
+        return worker_state::ready;
+    return text == "draining" ? worker_state::draining : worker_state::gone;
+}
+
+json to_json(worker_description const& worker)
+{
+    return {{"executor", worker.executor.id},
+            {"born_ms", worker.executor.born_ms},
+            {"service", worker.service},
+            {"data_centre", worker.data_centre},
+            {"rack", worker.rack},
+            {"state", name(worker.state)},
+            {"remaining_ms", worker.remaining.count()},
+            {"capacity", to_json(worker.capacity)},
+            {"labels", worker.labels}};
+}
+
+worker_description worker_from(json const& document)
+{
+    worker_description worker;
+    worker.executor = {document.at("executor"), document.at("born_ms")};
+    worker.service = document.at("service");
+    worker.data_centre = document.at("data_centre");
+    worker.rack = document.at("rack");
+    worker.state = worker_state_from(document.at("state"));
+    worker.remaining = core::duration(document.at("remaining_ms"));
+    worker.capacity = resources_from(document.at("capacity"));
+    worker.labels = document.at("labels").get<std::vector<std::string>>();
+    return worker;
+}
+
+} // namespace
+
+std::string encode(submission const& value)
+{
+    json steps = json::array();
+    for (auto const& step : value.spec.steps)
+        steps.push_back(to_json(step));
+    json document{{"job", value.job_id},
+                  {"customer", value.customer},
+                  {"queue", value.terms.queue},
+                  {"service", value.terms.service},
+                  {"priority", value.terms.priority},
+                  {"max_attempts", value.terms.max_attempts},
+                  {"objective_factor", value.terms.objective_factor},
+                  {"objective_ms", value.terms.objective_slack.count()},
+                  {"payload", value.spec.payload},
+                  {"steps", std::move(steps)}};
+    if (value.spec.is_repeated()) {
+        document["repeats"] = value.spec.repeats;
+        document["first_due_ms"] = value.spec.first_due_ms;
+        document["interval_ms"] = value.spec.interval.count();
+    }
+    return dump(document);
+}
+
+core::result<submission> decode_submission(std::string_view text)
+{
+    return decode<submission>(text, [](json const& document) {
+        submission value;
+        value.job_id = document.at("job");
+        value.customer = document.at("customer");
+        value.terms.queue = document.at("queue");
+        value.terms.service = document.at("service");
+        value.terms.priority = document.at("priority");
+        value.terms.max_attempts = document.at("max_attempts");
+        value.terms.objective_factor = document.at("objective_factor");
+        value.terms.objective_slack =
+            core::duration(document.at("objective_ms"));
+        value.spec.payload = document.at("payload");
+        for (auto const& step : document.at("steps"))
+            value.spec.steps.push_back(step_from(step));
+        value.spec.repeats = document.value("repeats", std::int64_t{0});
+        value.spec.first_due_ms =
+            document.value("first_due_ms", std::int64_t{0});
+        value.spec.interval =
+            core::duration(document.value("interval_ms", std::int64_t{0}));
+        return value;
+    });
+}
+
+std::string encode(job_progress const& value)
+{
+    json occurrences = json::array();
+    for (auto const& [number, occurrence] : value.occurrences)
+        occurrences.push_back({number, to_json(occurrence)});
+    return dump({{"state", name(value.state)},
+                 {"started", value.has_started},
+                 {"finished", value.finished_occurrences},
+                 {"occurrences", std::move(occurrences)}});
+}
+
+core::result<job_progress> decode_progress(std::string_view text)
+{
+    return decode<job_progress>(text, [](json const& document) {
+        job_progress value;
+        value.state = state_from(document.at("state"));
+        value.has_started = document.at("started");
+        value.finished_occurrences =
+            document.at("finished").get<std::set<std::int64_t>>();
+        for (auto const& entry : document.at("occurrences")) {
+            value.occurrences.emplace(entry.at(0).get<std::int64_t>(),
+                                      occurrence_from(entry.at(1)));
+        }
+        return value;
+    });
+}
+
+std::string encode(worker_report const& value)
+{
+    json running = json::array();
+    for (auto const& task : value.running) {
+        running.push_back(
+            {to_json(task.run), task.checkpoint, task.percent});
+    }
+    json ended = json::array();
+    for (auto const& task : value.ended)
+        ended.push_back({to_json(task.run), name(task.end), task.checkpoint});
+    return dump({{"agent", value.agent},
+                 {"worker", to_json(value.worker)},
+                 {"running", std::move(running)},
+                 {"ended", std::move(ended)}});
+}
+
+core::result<worker_report> decode_report(std::string_view text)
+{
+    return decode<worker_report>(text, [](json const& document) {
+        worker_report value;
+        value.agent = document.at("agent");
+        value.worker = worker_from(document.at("worker"));
+        for (auto const& task : document.at("running")) {
+            value.running.push_back(
+                {run_from(task.at(0)), task.at(1), task.at(2)});
+        }
+        for (auto const& task : document.at("ended")) {
+            value.ended.push_back(
+                {run_from(task.at(0)),
+                 run_end_of(task.at(1).get<std::string>()), task.at(2)});
+        }
+        return value;
+    });
+}
+
+std::string encode(run_order const& value)
+{
+    json document{{"agent", value.agent},
+                  {"executor", value.executor.id},
+                  {"born_ms", value.executor.born_ms},
+                  {"run", to_json(value.run)},
+                  {"payload", value.payload},
+                  {"checkpoint", value.checkpoint}};
+    if (value.is_to_stop)
+        document["stop"] = true;
+    return dump(document);
+}
+
+core::result<run_order> decode_order(std::string_view text)
+{
+    return decode<run_order>(text, [](json const& document) {
+        run_order value;
+        value.agent = document.at("agent");
+        value.executor = {document.at("executor"), document.at("born_ms")};
+        value.run = run_from(document.at("run"));
+        value.payload = document.at("payload");
+        value.checkpoint = document.at("checkpoint");
+        value.is_to_stop = document.value("stop", false);
+        return value;
+    });
+}
+
+} // namespace sequoiaroute::jobs
--- /dev/null
+++ b/packages/jobs/worker_report.cpp
@@ -0,0 +1,40 @@
+#include "jobs/worker_report.hpp"
+
+#include <algorithm>
+#include <array>
+#include <utility>
+
+namespace sequoiaroute::jobs {
+
+namespace {
+
+constexpr std::array<std::pair<run_end, std::string_view>, 8> names{{
+    {run_end::done, "done"},
+    {run_end::failed, "failed"},
+    {run_end::stopped, "stopped"},
+    {run_end::lapsed, "lapsed"},
+    {run_end::broken, "broken"},
+    {run_end::alone, "alone"},
+    {run_end::refused, "refused"},
+    {run_end::lost, "lost"},
+}};
+
+} // namespace
+
+std::string_view name(run_end end)
+{
+    auto const* const found =
+        std::find_if(names.begin(), names.end(),
+                     [&](auto const& entry) { return entry.first == end; });
+    return found == names.end() ? "lost" : found->second;
+}
+
+run_end run_end_of(std::string_view name)
+{
+    auto const* const found =
+        std::find_if(names.begin(), names.end(),
+                     [&](auto const& entry) { return entry.second == name; });
+    return found == names.end() ? run_end::lost : found->first;
+}
+
+} // namespace sequoiaroute::jobs
--- /dev/null
+++ b/packages/jobs/worker_report.hpp
@@ -0,0 +1,107 @@
+#pragma once
+
+#include "jobs/job_spec.hpp"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sequoiaroute::jobs {
+
+/// One life of an executor. It may start again under its id; `born` tells its
+/// lives apart.
+struct incarnation
+{
+    std::string id;
+    std::int64_t born_ms = 0;
+
+    auto operator<=>(incarnation const&) const = default;
+};
+
+enum class worker_state
+{
+    ready,
+    draining,
+    gone, ///< the executor has ended; nothing runs on it
+};
+
+/// What a worker offers, as its executor says.
+struct worker_description
+{
+    incarnation executor;
+    std::string service;
+    std::string data_centre;
+    std::string rack;
+    worker_state state = worker_state::gone;
+    /// While it drains: the least time until it ends.
+    core::duration remaining{0};
+    resources capacity;
+    std::vector<std::string> labels;
+
+    bool operator==(worker_description const&) const = default;
+};
+
+/// How a run ended.
+enum class run_end
+{
+    done,
+    failed,
+    stopped,
+    lapsed,  ///< its lease ran out
+    broken,  ///< another member of its gang ended
+    alone,   ///< the other members of its gang did not appear
+    refused, ///< the executor did not start it
+    lost,    ///< the executor's life ended
+};
+
+/// @return the stable name of an end
+std::string_view name(run_end end);
+
+/// @return the end with a name; `lost` if there is none such
+run_end run_end_of(std::string_view name);
+
+/// A run that is at work.
+struct running_task
+{
+    run_id run;
+    std::string checkpoint;
+    std::int32_t percent = 0;
+
+    bool operator==(running_task const&) const = default;
+};
+
+/// A run that has ended and whose order still stands.
+struct ended_task
+{
+    run_id run;
+    run_end end = run_end::lost;
+    std::string checkpoint;
+
+    bool operator==(ended_task const&) const = default;
+};
+
+/// What an agent says of its worker.
+struct worker_report
+{
+    std::string agent;
+    worker_description worker;
+    std::vector<running_task> running;
+    std::vector<ended_task> ended;
+
+    bool operator==(worker_report const&) const = default;
+};
+
+/// The order to run a task on a worker. It stands until the decider has taken
+/// note of the run's end.
+struct run_order
+{
+    std::string agent;
+    incarnation executor;
+    run_id run;
+    std::string payload;
+    std::string checkpoint;
+    bool is_to_stop = false;
+};
+
+} // namespace sequoiaroute::jobs
--- a/packages/programs/agent_main.cpp
+++ b/packages/programs/agent_main.cpp
@@ -1,4 +1,5 @@
 #include "core/log.hpp"
+#include "programs/store_agent.hpp"
 #include "workers/agent_process.hpp"
 #include "workers/agent_settings.hpp"
 
@@ -14,6 +15,8 @@
 #include <pthread.h>
 
 ABSL_FLAG(std::string, settings, "", "INI file with the settings of the agent");
+ABSL_FLAG(bool, store_orders, false,
+          "take orders from the store of rows instead of from entries");
 ABSL_FLAG(bool, check, false, "only check the settings");
 
 namespace {
@@ -61,6 +64,11 @@
         "Runs the agent beside one executor or worker.");
     absl::ParseCommandLine(argument_count, arguments);
     mallopt(M_ARENA_MAX, memory_arenas);
+    if (absl::GetFlag(FLAGS_store_orders)) {
+        auto const status = programs::run_store_agent(
+            absl::GetFlag(FLAGS_settings), absl::GetFlag(FLAGS_check));
+        return is_ok(status) ? EXIT_SUCCESS : report_error(failure(status));
+    }
     auto const signals = block_stop_signals();
     auto const settings =
         workers::agent_settings::create(absl::GetFlag(FLAGS_settings));
--- a/packages/programs/command_line.cpp
+++ b/packages/programs/command_line.cpp
@@ -25,6 +25,10 @@
 {
     static std::vector<command_description> const commands{
         {"serve", "serve --settings=FILE", "Runs an entry.", {"settings"}},
+        {"schedule",
+         "schedule --settings=FILE",
+         "Runs an entry that keeps its jobs in the store of rows.",
+         {"settings"}},
         {"rules",
          "rules check FILE | rules show | rules apply FILE --generation=N",
          "Checks, shows or applies the rule file. show prints the text to "
--- /dev/null
+++ b/packages/programs/schedule_entry.cpp
@@ -0,0 +1,178 @@
+#include "programs/schedule_entry.hpp"
+
+#include "core/event_log.hpp"
+#include "core/settings.hpp"
+#include "customer_server.hpp"
+#include "event/event_loop.hpp"
+#include "event/evhttp_client.hpp"
+#include "gateway/customer_service.hpp"
+#include "gateway/job_directory.hpp"
+#include "rows/row_layout.hpp"
+#include "rules_decoder.hpp"
+#include "scheduler/decider_service.hpp"
+#include "store_client.hpp"
+
+#include <csignal>
+
+namespace sequoiaroute::programs {
+
+namespace {
+
+/// How long the work table's feed may be held by the store.
+constexpr core::duration work_feed_wait{1000};
+/// The balancer needs two failed readiness checks, a second apart, to send no
+/// more connections here; the process serves until then.
+constexpr core::duration balancer_delay{3000};
+/// What is left of the grace period when the process ends.
+constexpr core::duration exit_reserve{1200};
+/// How long an agent extends leases without the store; see agent_service.
+constexpr core::duration lease_without_store{10'000};
+constexpr double slowest_clock = 1.02;
+/// Delays between a stored report and the decider's copy of it.
+constexpr core::duration report_delay{2000};
+/// How much longer than promised the state of a finished job is kept.
+constexpr core::duration retention_slack{60'000};
+
+std::vector<core::setting_description> const& descriptions()
+{
+    using core::setting_type;
+    static std::vector<core::setting_description> const list{
+        {"process", "node", setting_type::text, {}, true},
+        {"listen", "customers", setting_type::address, {}, true},
+        {"listen", "readiness", setting_type::address, {}, true},
+        {"store", "address", setting_type::address, {}, true},
+        {"bounds", "lease", setting_type::time, "6s", false},
+        {"bounds", "stop", setting_type::time, "1s", false},
+        {"bounds", "grace", setting_type::time, "6s", false},
+        {"bounds", "state_kept", setting_type::time, "120s", false},
+    };
+    return list;
+}
+
+scheduler::scheduler_limits limits_from(core::settings const& settings)
+{
+    scheduler::scheduler_limits limits;
+    auto const lease = settings.time("bounds.lease");
+    limits.lost_after =
+        lease_without_store +
+        core::duration(static_cast<std::int64_t>(
+            static_cast<double>(lease.count()) * slowest_clock)) +
+        settings.time("bounds.stop") + report_delay;
+    limits.retention = settings.time("bounds.state_kept") + retention_slack;
+    return limits;
+}
+
+/// The parts of an entry, in the order in which they depend on each other.
+class schedule_entry
+{
+public:
+    schedule_entry(std::unique_ptr<event::event_loop> loop,
+                   core::settings settings)
+        : settings_(std::move(settings)), loop_(std::move(loop)),
+          client_(*loop_), store_(client_, settings_.text("store.address")),
+          rules_(store_, *loop_),
+          work_(store_, *loop_,
+                {std::string(rows::layout::work_table), work_feed_wait,
+                 core::duration(0),
+                 {}},
+                [this](rows::row const& changed) {
+                    directory_.observe(changed);
+                    decider_.observe(changed);
+                }),
+          customers_(store_, *loop_, rules_, work_, directory_),
+          decider_(store_, *loop_, work_, [this] { return rules_.current(); },
+                   {settings_.text("process.node"), limits_from(settings_)})
+    {
+    }
+
+    core::status run()
+    {
+        SEQUOIA_TRY_INTO(
+            customer_server_,
+            adapter::customer_server::create(
+                *loop_, settings_.text("listen.customers"),
+                [this](gateway::customer_call call,
+                       gateway::customer_responder respond) {
+                    customers_.handle(std::move(call), std::move(respond));
+                }));
+        SEQUOIA_TRY_INTO(
+            readiness_server_,
+            adapter::create_readiness_server(
+                *loop_, settings_.text("listen.readiness"), [this] {
+                    return !is_stopping_ && customers_.is_ready();
+                }));
+        auto const terminate =
+            loop_->on_signal(SIGTERM, [this] { begin_stop(); });
+        auto const interrupt =
+            loop_->on_signal(SIGINT, [this] { begin_stop(); });
+        auto const reload = loop_->on_signal(SIGHUP, [] {
+            core::log_event("settings_changed",
+                            {{"effect", "from the next start on"}});
+        });
+        rules_.start();
+        work_.start();
+        decider_.start();
+        core::log_event("process_started",
+                        {{"store", settings_.text("store.address")}});
+        loop_->run();
+        core::log_event("process_stopped", {});
+        return core::success();
+    }
+
+private:
+    void begin_stop()
+    {
+        if (is_stopping_)
+            return;
+        is_stopping_ = true;
+        core::log_event("stop_requested", {});
+        decider_.stop();
+        customer_server_->drain();
+        auto const grace = settings_.time("bounds.grace");
+        stop_timer_ =
+            loop_->after(std::min(balancer_delay, grace - exit_reserve),
+                         [this] { end_when_idle(); });
+        limit_timer_ =
+            loop_->after(grace - exit_reserve, [this] { loop_->stop(); });
+    }
+
+    void end_when_idle()
+    {
+        constexpr core::duration check_period{50};
+        idle_timer_ = loop_->every(check_period, [this] {
+            if (customer_server_->open_calls() == 0)
+                loop_->stop();
+        });
+    }
+
+    core::settings settings_;
+    std::unique_ptr<event::event_loop> loop_;
+    event::evhttp_client client_;
+    adapter::store_client store_;
+    adapter::store_rules rules_;
+    gateway::job_directory directory_;
+    rows::table_replica work_;
+    gateway::customer_service customers_;
+    scheduler::decider_service decider_;
+    std::unique_ptr<adapter::customer_server> customer_server_;
+    std::unique_ptr<event::http_server> readiness_server_;
+    std::unique_ptr<event::timer> stop_timer_;
+    std::unique_ptr<event::timer> limit_timer_;
+    std::unique_ptr<event::timer> idle_timer_;
+    bool is_stopping_ = false;
+};
+
+} // namespace
+
+core::status run_schedule_entry(std::string const& settings_path)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    SEQUOIA_TRY_INTO(auto settings,
+                     core::settings::create(settings_path, descriptions()));
+    core::set_event_source(settings.text("process.node"));
+    SEQUOIA_TRY_INTO(auto loop, event::event_loop::create());
+    schedule_entry entry(std::move(loop), std::move(settings));
+    return entry.run();
+}
+
+} // namespace sequoiaroute::programs
--- a/packages/programs/sequoiaroute.cpp
+++ b/packages/programs/sequoiaroute.cpp
@@ -5,6 +5,7 @@
 #include "programs/entry_process.hpp"
 #include "programs/entry_settings.hpp"
 #include "programs/flags.hpp"
+#include "programs/schedule_entry.hpp"
 
 #include <cstdio>
 #include <thread>
@@ -91,6 +92,8 @@
         fmt::print("{}", help_text(line.command));
         return core::success();
     }
+    if (line.command == "schedule")
+        return run_schedule_entry(absl::GetFlag(FLAGS_settings));
     return line.command == "serve" ? run_serve() : run_client(line);
 }
 
--- /dev/null
+++ b/packages/programs/store_agent.cpp
@@ -0,0 +1,86 @@
+#include "programs/store_agent.hpp"
+
+#include "agents/agent_service.hpp"
+#include "core/event_log.hpp"
+#include "core/settings.hpp"
+#include "event/event_loop.hpp"
+#include "event/evhttp_client.hpp"
+#include "executor_client.hpp"
+#include "heartbeat_server.hpp"
+#include "store_client.hpp"
+
+#include <csignal>
+
+namespace sequoiaroute::programs {
+
+namespace {
+
+std::vector<core::setting_description> const& descriptions()
+{
+    using core::setting_type;
+    static std::vector<core::setting_description> const list{
+        {"process", "node", setting_type::text, {}, true},
+        {"process", "address", setting_type::text, {}, true},
+        {"listen", "heartbeats", setting_type::address, {}, true},
+        {"executor", "address", setting_type::address, {}, true},
+        {"store", "address", setting_type::address, {}, true},
+        {"bounds", "lease", setting_type::time, "6s", false},
+    };
+    return list;
+}
+
+core::status serve(core::settings const& settings)
+{
+    SEQUOIA_TRY_INTO(auto const loop, event::event_loop::create());
+    event::evhttp_client client(*loop);
+    adapter::store_client store(client, settings.text("store.address"));
+    adapter::executor_client executor(client,
+                                      settings.text("executor.address"));
+    agents::agent_service::options options;
+    // The address names the agent: a machine that replaces another one may
+    // have its name, but never its address.
+    options.agent = settings.text("process.address");
+    options.lease = settings.time("bounds.lease");
+    agents::agent_service agent(store, *loop, executor, options);
+    SEQUOIA_TRY_INTO(
+        auto const server,
+        adapter::heartbeat_server::create(
+            *loop, settings.text("listen.heartbeats"),
+            {[&](adapter::heartbeat message) {
+                 agent.receive_heartbeat(std::move(message.worker),
+                                         message.sequence);
+             },
+             [&](std::string const& id) { agent.receive_goodbye(id); }}));
+    auto const end = [&] {
+        core::log_event("stop_requested", {});
+        loop->stop();
+    };
+    auto const terminate = loop->on_signal(SIGTERM, end);
+    auto const interrupt = loop->on_signal(SIGINT, end);
+    auto const reload = loop->on_signal(SIGHUP, [] {
+        core::log_event("settings_changed",
+                        {{"effect", "from the next start on"}});
+    });
+    agent.start();
+    core::log_event("process_started",
+                    {{"store", settings.text("store.address")},
+                     {"executor", settings.text("executor.address")}});
+    loop->run();
+    core::log_event("process_stopped", {});
+    return core::success();
+}
+
+} // namespace
+
+core::status run_store_agent(std::string const& settings_path, bool only_check)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    SEQUOIA_TRY_INTO(auto const settings,
+                     core::settings::create(settings_path, descriptions()));
+    core::set_event_source(settings.text("process.node"));
+    if (only_check)
+        return core::success();
+    return serve(settings);
+}
+
+} // namespace sequoiaroute::programs
--- /dev/null
+++ b/packages/rows/row_layout.cpp
@@ -0,0 +1,71 @@
+#include "rows/row_layout.hpp"
+
+#include <fmt/format.h>
+#include <xxhash.h>
+
+namespace sequoiaroute::rows::layout {
+
+namespace {
+
+std::size_t spread(std::string_view agent, std::size_t count)
+{
+    return XXH3_64bits(agent.data(), agent.size()) % count;
+}
+
+row_key work_row(std::string_view prefix, std::string_view id)
+{
+    return {std::string(work_table), std::string(work_part),
+            fmt::format("{}{}", prefix, id)};
+}
+
+} // namespace
+
+row_key lease_row()
+{
+    return work_row("lease", "");
+}
+
+row_key job_row(std::string_view job_id)
+{
+    return work_row(job_prefix, job_id);
+}
+
+row_key cancel_row(std::string_view job_id)
+{
+    return work_row(cancel_prefix, job_id);
+}
+
+row_key progress_row(std::string_view job_id)
+{
+    return work_row(progress_prefix, job_id);
+}
+
+std::string order_table(std::size_t number)
+{
+    return fmt::format("sequoiaroute-orders-{:02}", number);
+}
+
+std::string order_table_of(std::string_view agent)
+{
+    return order_table(spread(agent, order_tables));
+}
+
+std::string order_prefix(std::string_view agent)
+{
+    return fmt::format("{}/", agent);
+}
+
+row_key order_row(std::string_view agent, std::string_view run)
+{
+    return {order_table_of(agent), std::string(work_part),
+            order_prefix(agent) + std::string(run)};
+}
+
+row_key report_row(std::string_view agent)
+{
+    return {std::string(reports_table),
+            fmt::format("{:02}", spread(agent, report_parts)),
+            std::string(agent)};
+}
+
+} // namespace sequoiaroute::rows::layout
--- /dev/null
+++ b/packages/rows/table_replica.cpp
@@ -0,0 +1,167 @@
+#include "rows/table_replica.hpp"
+
+#include <algorithm>
+#include <utility>
+
+namespace sequoiaroute::rows {
+
+namespace {
+
+/// Spacing of calls while the store does not answer; each refused call is
+/// paid for.
+constexpr core::duration retry_delay{150};
+
+} // namespace
+
+table_replica::table_replica(row_store& store, event::timer_service& timers,
+                             options settings, observer on_row,
+                             std::function<void()> on_pass)
+    : store_(store), timers_(timers), options_(std::move(settings)),
+      on_row_(std::move(on_row)), on_pass_(std::move(on_pass))
+{
+}
+
+void table_replica::start()
+{
+    load();
+}
+
+core::duration table_replica::age() const
+{
+    if (!confirmed_at_)
+        return core::duration::max();
+    return timers_.now() - *confirmed_at_;
+}
+
+row_version table_replica::version_of(row_key const& key) const
+{
+    auto const found = rows_.find(key);
+    return found == rows_.end() ? no_row : found->second.version;
+}
+
+void table_replica::retry(std::function<void()> step)
+{
+    retry_timer_ = timers_.after(retry_delay, std::move(step));
+}
+
+void table_replica::load()
+{
+    sent_at_ = timers_.now();
+    loading_.clear();
+    loading_version_.reset();
+    std::weak_ptr<bool> const alive = alive_;
+    store_.list_parts(options_.table, [this, alive](part_list const& list) {
+        if (alive.expired())
+            return;
+        if (!list.is_ok)
+            return retry([this] { load(); });
+        load_parts(list.parts);
+    });
+}
+
+void table_replica::load_parts(std::vector<std::string> parts)
+{
+    parts_to_load_ = std::move(parts);
+    // A table without rows has no parts, yet its version is needed to follow.
+    if (parts_to_load_.empty())
+        parts_to_load_.emplace_back();
+    load_page(parts_to_load_.back(), options_.key_prefix);
+}
+
+void table_replica::load_page(std::string part, std::string from)
+{
+    range wanted{options_.table, part, std::move(from), std::nullopt};
+    if (!options_.key_prefix.empty()) {
+        wanted.until = options_.key_prefix;
+        ++wanted.until->back();
+    }
+    std::weak_ptr<bool> const alive = alive_;
+    store_.read(std::move(wanted), [this, alive, part](page result) {
+        if (alive.expired())
+            return;
+        if (!result.is_ok)
+            return retry([this] { load(); });
+        // Changes after the first page are delivered by the feed.
+        if (!loading_version_)
+            loading_version_ = result.version;
+        std::string last;
+        for (auto& entry : result.rows) {
+            last = entry.key.key;
+            loading_.insert_or_assign(entry.key, std::move(entry));
+        }
+        if (result.has_more)
+            return load_page(part, last + '\0');
+        parts_to_load_.pop_back();
+        if (parts_to_load_.empty())
+            return finish_load();
+        load_page(parts_to_load_.back(), options_.key_prefix);
+    });
+}
+
+void table_replica::finish_load()
+{
+    std::vector<row> removed;
+    for (auto const& [key, entry] : rows_) {
+        if (!loading_.contains(key))
+            removed.push_back({key, {}, *loading_version_, true});
+    }
+    for (auto& entry : removed)
+        apply(std::move(entry));
+    for (auto& [key, entry] : std::exchange(loading_, {}))
+        apply(std::move(entry));
+    version_ = *loading_version_;
+    confirmed_at_ = sent_at_;
+    if (on_pass_)
+        on_pass_();
+    follow();
+}
+
+void table_replica::follow()
+{
+    sent_at_ = timers_.now();
+    std::weak_ptr<bool> const alive = alive_;
+    store_.follow(options_.table, version_, options_.wait,
+                  [this, alive](feed_page page) {
+                      if (!alive.expired())
+                          receive(std::move(page));
+                  });
+}
+
+void table_replica::receive(feed_page page)
+{
+    if (page.outcome == feed_outcome::history_lost)
+        return load();
+    if (page.outcome == feed_outcome::unavailable)
+        return retry([this] { follow(); });
+    bool const has_changes = !page.rows.empty();
+    for (auto& changed : page.rows)
+        apply(std::move(changed));
+    version_ = std::max(version_, page.version);
+    confirmed_at_ = sent_at_;
+    if (on_pass_)
+        on_pass_();
+    if (has_changes && options_.pause > core::duration(0))
+        retry_timer_ = timers_.after(options_.pause, [this] { follow(); });
+    else
+        follow();
+}
+
+void table_replica::apply(row changed)
+{
+    if (!options_.key_prefix.empty() &&
+        !changed.key.key.starts_with(options_.key_prefix))
+        return;
+    auto const known = rows_.find(changed.key);
+    bool const is_known = known != rows_.end();
+    if (is_known && known->second.version >= changed.version)
+        return;
+    if (changed.is_removed && !is_known)
+        return;
+    on_row_(changed);
+    if (changed.is_removed)
+        rows_.erase(known);
+    else
+        rows_.insert_or_assign(changed.key, std::move(changed));
+}
+
+} // namespace sequoiaroute::rows
--- /dev/null
+++ b/packages/rows/table_replica.hpp
@@ -0,0 +1,93 @@
+#pragma once
+
+#include "event/timer_service.hpp"
+#include "rows/row_store.hpp"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace sequoiaroute::rows {
+
+/// Keeps a copy of one table up to date: reads it whole, then follows its
+/// changes. If the store dropped the history in between, the table is read
+/// whole again and compared, so that no change and no removal is lost.
+class table_replica
+{
+public:
+    struct options
+    {
+        std::string table;
+        /// How long the store may hold a call without a change. It bounds how
+        /// long a connection that went silent stays unnoticed.
+        core::duration wait{1000};
+        /// Pause after a change, so that a series of changes costs one call.
+        core::duration pause{0};
+        /// Follows only keys that start so; others are skipped.
+        std::string key_prefix;
+    };
+
+    using observer = std::function<void(row const&)>;
+
+    /// @param store the store
+    /// @param timers drives retries
+    /// @param settings what to follow
+    /// @param on_row receives every row that was written or removed
+    /// @param on_pass called after each answer of the store
+    table_replica(row_store& store, event::timer_service& timers,
+                  options settings, observer on_row,
+                  std::function<void()> on_pass = {});
+
+    /// Starts following.
+    void start();
+
+    /// @return whether the table has been read whole once
+    bool is_loaded() const { return confirmed_at_.has_value(); }
+
+    /// @return the moment up to which all changes are known, if any
+    std::optional<core::time_point> confirmed_at() const
+    {
+        return confirmed_at_;
+    }
+
+    /// @return how long ago the copy was known to be complete
+    core::duration age() const;
+
+    /// @return the version of a row, no_row if it does not exist
+    row_version version_of(row_key const& key) const;
+
+    std::map<row_key, row> const& rows() const { return rows_; }
+
+private:
+    void load();
+    void load_parts(std::vector<std::string> parts);
+    void load_page(std::string part, std::string from);
+    void finish_load();
+    void follow();
+    void receive(feed_page page);
+    void apply(row changed);
+    void retry(std::function<void()> step);
+
+    row_store& store_;
+    event::timer_service& timers_;
+    options options_;
+    observer on_row_;
+    std::function<void()> on_pass_;
+    std::map<row_key, row> rows_;
+    row_version version_ = no_row;
+    std::optional<core::time_point> confirmed_at_;
+    core::time_point sent_at_{};
+
+    // State of a reading of the whole table.
+    std::vector<std::string> parts_to_load_;
+    std::map<row_key, row> loading_;
+    std::optional<row_version> loading_version_;
+    std::unique_ptr<event::timer> retry_timer_;
+    /// Callbacks of the store hold it weakly, so that they end with this
+    /// object.
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace sequoiaroute::rows
--- /dev/null
+++ b/packages/scheduler/commit_queue.hpp
@@ -0,0 +1,98 @@
+#pragma once
+
+#include "event/timer_service.hpp"
+#include "rows/row_store.hpp"
+#include "scheduler/open_job.hpp"
+
+#include <cstdint>
+#include <deque>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace sequoiaroute::scheduler {
+
+/// What the lease row says.
+struct lease_record
+{
+    std::string holder; ///< empty if it was given up
+    std::int64_t term = 0;
+    std::int64_t renewals = 0;
+
+    bool operator==(lease_record const&) const = default;
+};
+
+std::string encode(lease_record const& record);
+
+/// @return the record; one without a holder if the text is not valid
+lease_record decode_lease(std::string_view text);
+
+/// Writes the decider's changes, one transaction at a time.
+///
+/// Every transaction requires the version of the lease row that the last one
+/// wrote, and writes the lease row itself. So each one renews the lease, all
+/// fail once another process has taken the lease over, and one whose answer
+/// was lost can be sent again: it cannot take effect twice, and none can take
+/// effect late.
+class commit_queue
+{
+public:
+    enum class notice
+    {
+        written,    ///< the queue is empty
+        lease_lost, ///< another process holds the lease
+    };
+
+    /// @param store where to write
+    /// @param timers drives retries
+    /// @param lease what the lease row says
+    /// @param version the version of the lease row
+    /// @param observer is told when the queue is empty or the lease lost
+    commit_queue(rows::row_store& store, event::timer_service& timers,
+                 lease_record lease, rows::row_version version,
+                 std::function<void(notice)> observer);
+
+    /// Adds changes of jobs.
+    void push(std::vector<job_change> changes);
+
+    /// Writes only the lease row, if nothing is being written.
+    void renew();
+
+    /// Gives the lease up once all changes are written.
+    void release();
+
+    bool is_idle() const { return !in_flight_ && waiting_.empty(); }
+
+    core::time_point last_written_at() const { return last_written_at_; }
+
+private:
+    struct batch
+    {
+        std::vector<rows::row_write> writes;
+        std::vector<rows::row_key> removals;
+    };
+
+    void append(job_change const& change);
+    void send_next();
+    void send();
+    void receive(rows::commit_result const& result);
+    void resend_later();
+    void finish(rows::row_version version);
+
+    rows::row_store& store_;
+    event::timer_service& timers_;
+    lease_record lease_;
+    rows::row_version version_;
+    std::function<void(notice)> observer_;
+    std::deque<batch> waiting_;
+    rows::transaction current_;
+    std::string current_lease_;
+    bool in_flight_ = false;
+    bool is_releasing_ = false;
+    core::time_point last_written_at_;
+    std::unique_ptr<event::timer> retry_timer_;
+    std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
+};
+
+} // namespace sequoiaroute::scheduler
--- /dev/null
+++ b/packages/scheduler/decider_service.cpp
@@ -0,0 +1,380 @@
+#include "scheduler/decider_service.hpp"
+
+#include "core/event_log.hpp"
+#include "jobs/row_codec.hpp"
+#include "rows/row_layout.hpp"
+
+#include <algorithm>
+#include <chrono>
+
+namespace sequoiaroute::scheduler {
+
+namespace {
+
+constexpr core::duration tick_period{100};
+constexpr core::duration renew_period{700};
+/// Three renewals missed; short enough to place urgent work in time after the
+/// decider was lost.
+constexpr core::duration takeover_after{2200};
+/// A copy older than this cannot tell whether the lease was renewed.
+constexpr core::duration fresh_copy{1500};
+/// Gathers changes that arrive close together into one round.
+constexpr core::duration round_delay{4};
+constexpr core::duration lease_timeout{1000};
+constexpr core::duration load_retry{150};
+
+std::int64_t wall_now_ms()
+{
+    return std::chrono::duration_cast<std::chrono::milliseconds>(
+               std::chrono::system_clock::now().time_since_epoch())
+        .count();
+}
+
+void log_changes(std::vector<job_change> const& changes)
+{
+    for (auto const& change : changes) {
+        for (auto const& order : change.orders) {
+            auto const run = to_text(order.order.run);
+            switch (order.what) {
+            case order_change::kind::start:
+                core::log_event("run_ordered",
+                                {{"job", change.job_id},
+                                 {"run", run},
+                                 {"agent", order.order.agent},
+                                 {"executor", order.order.executor.id},
+                                 {"checkpoint", order.order.checkpoint}});
+                break;
+            case order_change::kind::stop:
+                core::log_event("run_stop_ordered",
+                                {{"job", change.job_id},
+                                 {"run", run},
+                                 {"agent", order.order.agent},
+                                 {"reason", order.reason}});
+                break;
+            case order_change::kind::remove:
+                core::log_event("run_ended", {{"job", change.job_id},
+                                              {"run", run},
+                                              {"agent", order.order.agent},
+                                              {"end", order.reason}});
+                break;
+            }
+        }
+        if (!change.is_retired && jobs::is_final(change.progress.state)) {
+            core::log_event(
+                "job_finished",
+                {{"job", change.job_id},
+                 {"state", std::string(jobs::name(change.progress.state))}});
+        }
+    }
+}
+
+} // namespace
+
+decider_service::decider_service(
+    rows::row_store& store, event::timer_service& timers,
+    rows::table_replica const& work,
+    std::function<std::shared_ptr<jobs::rules const>()> rules,
+    options settings)
+    : store_(store), timers_(timers), work_(work), rules_(std::move(rules)),
+      options_(std::move(settings)),
+      // The time of day may jump later; the steady clock does not.
+      wall_offset_ms_(wall_now_ms() - timers.now().time_since_epoch().count())
+{
+}
+
+decider_service::~decider_service() = default;
+
+void decider_service::start()
+{
+    lease_changed_at_ = timers_.now();
+    tick_timer_ = timers_.every(tick_period, [this] { tick(); });
+}
+
+void decider_service::observe(rows::row const& changed)
+{
+    if (changed.key == rows::layout::lease_row())
+        return observe_lease(changed);
+    if (core_ == nullptr)
+        return;
+    add_row(changed);
+    decide_soon();
+}
+
+void decider_service::observe_lease(rows::row const& changed)
+{
+    seen_lease_ = changed.is_removed ? lease_record{}
+                                     : decode_lease(changed.value);
+    seen_version_ = changed.is_removed ? rows::no_row : changed.version;
+    lease_changed_at_ = timers_.now();
+    if (commits_ != nullptr && core_ == nullptr)
+        decide_soon();
+    if (commits_ == nullptr && seen_lease_.holder.empty())
+        try_acquire();
+}
+
+void decider_service::tick()
+{
+    if (commits_ != nullptr) {
+        if (core_ == nullptr)
+            build_core_if_loaded();
+        if (!is_stopped_ &&
+            timers_.now() - commits_->last_written_at() >= renew_period)
+            commits_->renew();
+        has_news_ = true;
+        decide();
+        return;
+    }
+    if (!work_.is_loaded() || work_.age() > fresh_copy)
+        return;
+    if (seen_lease_.holder.empty() ||
+        timers_.now() - lease_changed_at_ > takeover_after)
+        try_acquire();
+}
+
+void decider_service::try_acquire()
+{
+    if (is_acquiring_ || is_stopped_ || !work_.is_loaded())
+        return;
+    is_acquiring_ = true;
+    // An attempt without an answer is repeated unchanged, so that its own
+    // earlier sending is recognised.
+    if (!wanted_ || wanted_over_ != seen_version_) {
+        wanted_ = lease_record{options_.node, seen_lease_.term + 1, 0};
+        wanted_over_ = seen_version_;
+    }
+    rows::transaction claim;
+    claim.conditions.push_back({rows::layout::lease_row(), wanted_over_});
+    claim.writes.push_back({rows::layout::lease_row(), encode(*wanted_)});
+    std::weak_ptr<bool> const alive = alive_;
+    store_.commit(std::move(claim), lease_timeout,
+                  [this, alive](rows::commit_result const& result) {
+                      if (!alive.expired())
+                          receive_lease(result);
+                  });
+}
+
+void decider_service::receive_lease(rows::commit_result const& result)
+{
+    is_acquiring_ = false;
+    if (result.outcome == rows::commit_outcome::committed)
+        return become_decider(result.version);
+    if (result.outcome != rows::commit_outcome::conflict)
+        return;
+    for (auto const& row : result.current) {
+        if (row.key == rows::layout::lease_row() && wanted_ &&
+            row.value == encode(*wanted_))
+            return become_decider(row.version);
+    }
+}
+
+void decider_service::become_decider(rows::row_version version)
+{
+    core::log_event("lease_acquired",
+                    {{"term", wanted_->term},
+                     {"previous", seen_lease_.holder},
+                     {"unchanged_ms",
+                      (timers_.now() - lease_changed_at_).count()}});
+    acquired_version_ = version;
+    commits_ = std::make_unique<commit_queue>(
+        store_, timers_, *wanted_, version, [this](commit_queue::notice notice) {
+            if (notice == commit_queue::notice::lease_lost) {
+                // The queue must not be destroyed from its own callback.
+                resign_timer_ = timers_.after(core::duration(0), [this] {
+                    resign("another process holds the lease");
+                });
+                return;
+            }
+            decide_soon();
+        });
+    wanted_.reset();
+    loaded_orders_.clear();
+    loaded_tables_ = 0;
+    reports_ = std::make_unique<rows::table_replica>(
+        store_, timers_,
+        rows::table_replica::options{std::string(rows::layout::reports_table),
+                                     core::duration(1000), round_delay,
+                                     {}},
+        [this](rows::row const& changed) { receive_report(changed); },
+        [this] { decide_soon(); });
+    reports_->start();
+    load_orders(0);
+}
+
+void decider_service::resign(std::string_view reason)
+{
+    core::log_event("lease_lost", {{"reason", std::string(reason)}});
+    core_.reset();
+    reports_.reset();
+    commits_.reset();
+    decide_timer_.reset();
+    lease_changed_at_ = timers_.now();
+}
+
+void decider_service::load_orders(std::size_t table)
+{
+    if (table == rows::layout::order_tables) {
+        build_core_if_loaded();
+        return;
+    }
+    std::weak_ptr<bool> const alive = alive_;
+    auto const term_version = acquired_version_;
+    store_.read(
+        {rows::layout::order_table(table),
+         std::string(rows::layout::work_part),
+         {},
+         std::nullopt},
+        [this, alive, table, term_version](rows::page const& page) {
+            if (alive.expired() || term_version != acquired_version_ ||
+                commits_ == nullptr)
+                return;
+            if (!page.is_ok) {
+                load_timer_ = timers_.after(
+                    load_retry, [this, table] { load_orders(table); });
+                return;
+            }
+            for (auto const& row : page.rows) {
+                auto order = jobs::decode_order(row.value);
+                if (core::is_ok(order)) {
+                    loaded_orders_.push_back(
+                        core::value(std::move(order)));
+                } else {
+                    core::log_event("row_unreadable",
+                                    {{"key", row.key.key},
+                                     {"fault", core::failure(order).message}});
+                }
+            }
+            ++loaded_tables_;
+            load_orders(table + 1);
+        });
+}
+
+void decider_service::build_core_if_loaded()
+{
+    bool const has_own_lease = work_.version_of(rows::layout::lease_row()) >=
+                               acquired_version_;
+    if (core_ != nullptr || commits_ == nullptr || !has_own_lease ||
+        !reports_->is_loaded() ||
+        loaded_tables_ != rows::layout::order_tables)
+        return;
+    core_ = std::make_unique<scheduler_core>(options_.limits);
+    std::vector<rows::row const*> ordered;
+    for (auto const& [key, row] : work_.rows())
+        ordered.push_back(&row);
+    // The oldest jobs first, so that they keep their place.
+    std::sort(ordered.begin(), ordered.end(),
+              [](auto const* left, auto const* right) {
+                  return left->version < right->version;
+              });
+    auto const now = timers_.now();
+    for (auto const* row : ordered) {
+        if (row->key.key.starts_with(rows::layout::job_prefix))
+            add_row(*row);
+    }
+    for (auto const* row : ordered) {
+        auto const prefix = rows::layout::progress_prefix;
+        if (!row->key.key.starts_with(prefix))
+            continue;
+        auto progress = jobs::decode_progress(row->value);
+        if (core::is_ok(progress)) {
+            core_->restore_progress(row->key.key.substr(prefix.size()),
+                                    core::value(std::move(progress)), now);
+        } else {
+            core::log_event("row_unreadable",
+                            {{"key", row->key.key},
+                             {"fault", core::failure(progress).message}});
+        }
+    }
+    for (auto const* row : ordered) {
+        if (row->key.key.starts_with(rows::layout::cancel_prefix))
+            add_row(*row);
+    }
+    for (auto& order : loaded_orders_)
+        core_->restore_order(std::move(order), now);
+    core::log_event(
+        "decider_ready",
+        {{"jobs", static_cast<std::int64_t>(core_->jobs().size())},
+         {"orders", static_cast<std::int64_t>(loaded_orders_.size())},
+         {"workers", static_cast<std::int64_t>(reports_->rows().size())}});
+    loaded_orders_.clear();
+    for (auto const& [key, row] : reports_->rows())
+        receive_report(row);
+    decide_soon();
+}
+
+void decider_service::add_row(rows::row const& changed)
+{
+    auto const& key = changed.key.key;
+    if (changed.is_removed)
+        return;
+    if (key.starts_with(rows::layout::job_prefix)) {
+        auto job = jobs::decode_submission(changed.value);
+        if (!core::is_ok(job)) {
+            core::log_event("row_unreadable",
+                            {{"key", key},
+                             {"fault", core::failure(job).message}});
+            return;
+        }
+        core_->add_submission(core::value(std::move(job)), timers_.now());
+    } else if (key.starts_with(rows::layout::cancel_prefix)) {
+        core_->cancel(key.substr(rows::layout::cancel_prefix.size()));
+    }
+}
+
+void decider_service::receive_report(rows::row const& changed)
+{
+    if (core_ == nullptr || changed.is_removed)
+        return;
+    auto report = jobs::decode_report(changed.value);
+    if (!core::is_ok(report)) {
+        core::log_event("row_unreadable",
+                        {{"key", changed.key.key},
+                         {"fault", core::failure(report).message}});
+        return;
+    }
+    core_->receive(core::value(std::move(report)), timers_.now());
+}
+
+void decider_service::decide_soon()
+{
+    has_news_ = true;
+    if (decide_timer_ == nullptr) {
+        decide_timer_ = timers_.after(round_delay, [this] {
+            decide_timer_.reset();
+            decide();
+        });
+    }
+}
+
+void decider_service::decide()
+{
+    if (commits_ == nullptr)
+        return;
+    if (core_ == nullptr)
+        build_core_if_loaded();
+    if (core_ == nullptr || !commits_->is_idle() || !has_news_ || is_stopped_)
+        return;
+    has_news_ = false;
+    if (auto rules = rules_(); rules != nullptr)
+        core_->set_rules(std::move(rules));
+    auto changes = core_->decide(current_moment());
+    if (changes.empty())
+        return;
+    log_changes(changes);
+    commits_->push(std::move(changes));
+}
+
+moment decider_service::current_moment() const
+{
+    auto const now = timers_.now();
+    return {now, now.time_since_epoch().count() + wall_offset_ms_,
+            reports_->confirmed_at().value_or(core::time_point{})};
+}
+
+void decider_service::stop()
+{
+    is_stopped_ = true;
+    if (commits_ != nullptr)
+        commits_->release();
+}
+
+} // namespace sequoiaroute::scheduler
--- /dev/null
+++ b/packages/scheduler/group_builder.cpp
@@ -0,0 +1,339 @@
+#include "scheduler/group_builder.hpp"
+
+#include <algorithm>
+#include <limits>
+#include <tuple>
+
+namespace sequoiaroute::scheduler {
+
+namespace {
+
+using namespace std::chrono_literals;
+
+/// How long a group waits for its rack before it takes any room, if a
+/// guarantee says that it has to start soon.
+constexpr core::duration rack_patience{1500};
+/// How long a large group waits before smaller ones must leave room to it.
+constexpr core::duration room_patience{2000};
+/// How long a step avoids an agent on which a run of it failed.
+constexpr core::duration failed_agent_pause{6000};
+/// Work that an urgent job without a guarantee may cost others, in
+/// core-seconds; about a tenth of what such a job is worth.
+constexpr double urgent_budget = 300;
+/// What an accelerator counts in core-seconds.
+constexpr double cores_per_accelerator = 8;
+/// A checkpoint is never older than this while a task works.
+constexpr double checkpoint_age_s = 1;
+/// A run that shows no progress for so long stands still, unless its percent
+/// is expected to change less often.
+constexpr core::duration stall_time{2600};
+constexpr double stall_share_of_estimate = 0.12;
+
+double cores_of(jobs::resources const& task)
+{
+    return static_cast<double>(task.millicores) / 1000 +
+           cores_per_accelerator * static_cast<double>(task.accelerators);
+}
+
+/// @return the estimated time of the longest chain of steps
+core::duration chain_estimate(jobs::job_spec const& spec)
+{
+    std::vector<core::duration> ends(spec.steps.size(), core::duration(0));
+    core::duration longest{0};
+    for (std::size_t index = 0; index < spec.steps.size(); ++index) {
+        core::duration begin{0};
+        for (auto const before : spec.steps[index].after) {
+            auto const position = static_cast<std::size_t>(before);
+            if (position < index)
+                begin = std::max(begin, ends[position]);
+        }
+        ends[index] = begin + spec.steps[index].estimate;
+        longest = std::max(longest, ends[index]);
+    }
+    return longest;
+}
+
+core::time_point latest_start(open_job const& job)
+{
+    auto const chain = chain_estimate(job.submission.spec);
+    auto const objective = job.submission.terms.objective_factor *
+                           static_cast<double>(chain.count());
+    return job.seen_at + job.submission.terms.objective_slack +
+           core::duration(static_cast<std::int64_t>(objective)) - chain;
+}
+
+std::int64_t accelerators_of_first_step(jobs::job_spec const& spec)
+{
+    if (spec.steps.empty())
+        return 0;
+    return spec.steps[0].task_count * spec.steps[0].task.accelerators;
+}
+
+/// Urgent jobs in the order of their arrival.
+std::vector<open_job const*> urgent_jobs(job_map const& jobs)
+{
+    std::vector<open_job const*> urgent;
+    for (auto const& [id, job] : jobs) {
+        if (job.submission.terms.priority == 0 && !job.is_cancelled &&
+            !jobs::is_final(job.progress.state))
+            urgent.push_back(&job);
+    }
+    std::sort(urgent.begin(), urgent.end(),
+              [](auto const* left, auto const* right) {
+                  return left->seen_at < right->seen_at;
+              });
+    return urgent;
+}
+
+/// @return the jobs whose customers' guarantees cover them
+std::set<open_job const*> guaranteed_jobs(job_map const& jobs,
+                                          jobs::rules const& rules)
+{
+    std::map<std::string, std::int64_t> used;
+    std::set<open_job const*> covered;
+    for (auto const* job : urgent_jobs(jobs)) {
+        auto const& customer = job->submission.customer;
+        auto const guarantee = rules.guaranteed_accelerators.find(customer);
+        if (guarantee == rules.guaranteed_accelerators.end())
+            continue;
+        auto& sum = used[customer];
+        sum += accelerators_of_first_step(job->submission.spec);
+        if (sum <= guarantee->second)
+            covered.insert(job);
+    }
+    return covered;
+}
+
+std::map<std::string, std::size_t> running_by_agent(open_job const& job,
+                                                    step_key const& key)
+{
+    std::map<std::string, std::size_t> running;
+    for (auto const& [task, run] : job.assignments) {
+        if (task.occurrence == key.occurrence && task.step == key.step)
+            ++running[run.order.agent];
+    }
+    return running;
+}
+
+std::set<std::string> avoided_agents(open_job const& job, step_key const& key,
+                                     core::time_point now)
+{
+    std::set<std::string> avoided;
+    auto const found = job.failed_on.find(key);
+    if (found == job.failed_on.end())
+        return avoided;
+    for (auto const& [agent, at] : found->second) {
+        if (now - at < failed_agent_pause)
+            avoided.insert(agent);
+    }
+    return avoided;
+}
+
+std::vector<jobs::task_id>
+waiting_tasks_of(open_job const& job, step_key const& key,
+                 std::vector<jobs::task_progress> const& tasks)
+{
+    std::vector<jobs::task_id> waiting;
+    for (std::size_t index = 0; index < tasks.size(); ++index) {
+        jobs::task_id const task{job.submission.job_id, key.occurrence,
+                                 key.step, static_cast<std::int32_t>(index)};
+        if (!tasks[index].is_done && !job.assignments.contains(task))
+            waiting.push_back(task);
+    }
+    return waiting;
+}
+
+waiting_tasks to_group(open_job const& job, step_key const& key,
+                       std::vector<jobs::task_id> tasks, bool is_guaranteed,
+                       core::time_point waiting_since, core::time_point now)
+{
+    auto const& step =
+        job.submission.spec.steps[static_cast<std::size_t>(key.step)];
+    auto const waited = now - waiting_since;
+    waiting_tasks result;
+    auto& group = result.group;
+    group.service = job.submission.terms.service;
+    group.count = tasks.size();
+    group.task = step.task;
+    group.is_gang = step.is_gang;
+    group.is_rack_local = step.is_rack_local;
+    group.data_rack = step.data_rack;
+    group.required_label = step.required_label;
+    group.max_per_worker =
+        static_cast<std::size_t>(std::max(step.max_per_worker, 0));
+    group.running_on = running_by_agent(job, key);
+    group.avoided = avoided_agents(job, key, now);
+    group.priority = job.submission.terms.priority;
+    group.is_guaranteed = is_guaranteed;
+    group.is_any_rack_allowed = is_guaranteed && waited > rack_patience;
+    group.keeps_room = group.priority == 0 || waited > room_patience;
+    if (is_guaranteed)
+        group.preemption_budget = std::numeric_limits<double>::max();
+    else if (group.priority == 0)
+        group.preemption_budget = urgent_budget;
+    result.tasks = std::move(tasks);
+    result.order_class = group.priority > 0 ? 2 : (is_guaranteed ? 0 : 1);
+    result.latest_start =
+        group.priority > 0 ? latest_start(job) : job.seen_at;
+    return result;
+}
+
+double loss_of(open_job const& job, assignment const& run,
+               core::time_point now)
+{
+    if (!run.seen_running_at)
+        return 0;
+    auto const& step =
+        job.submission.spec
+            .steps[static_cast<std::size_t>(run.order.run.task.step)];
+    auto seconds =
+        static_cast<double>((now - *run.seen_running_at).count()) / 1000;
+    if (step.has_checkpoints)
+        seconds = std::min(seconds, checkpoint_age_s);
+    return seconds * cores_of(run.task);
+}
+
+} // namespace
+
+bool is_step_due(jobs::submission const& job,
+                 jobs::occurrence_progress const& occurrence, std::size_t step)
+{
+    auto const& after = job.spec.steps[step].after;
+    return std::all_of(after.begin(), after.end(), [&](std::int32_t before) {
+        auto const position = static_cast<std::size_t>(before);
+        if (position >= occurrence.steps.size())
+            return true;
+        auto const& tasks = occurrence.steps[position];
+        return std::all_of(tasks.begin(), tasks.end(),
+                           [](auto const& task) { return task.is_done; });
+    });
+}
+
+std::vector<waiting_tasks> collect_waiting(job_map& jobs,
+                                           jobs::rules const& rules,
+                                           core::time_point now)
+{
+    auto const covered = guaranteed_jobs(jobs, rules);
+    std::vector<waiting_tasks> groups;
+    for (auto& [id, job] : jobs) {
+        if (job.is_cancelled || jobs::is_final(job.progress.state))
+            continue;
+        for (auto const& [number, occurrence] : job.progress.occurrences) {
+            for (std::size_t index = 0; index < occurrence.steps.size();
+                 ++index) {
+                step_key const key{number, static_cast<std::int32_t>(index)};
+                auto tasks =
+                    waiting_tasks_of(job, key, occurrence.steps[index]);
+                if (tasks.empty()) {
+                    job.waiting_since.erase(key);
+                    continue;
+                }
+                if (!is_step_due(job.submission, occurrence, index))
+                    continue;
+                auto const since =
+                    job.waiting_since.emplace(key, now).first->second;
+                auto const& step = job.submission.spec.steps[index];
+                bool const is_whole =
+                    tasks.size() == occurrence.steps[index].size();
+                if (step.is_gang && !is_whole)
+                    continue;
+                groups.push_back(to_group(job, key, std::move(tasks),
+                                          covered.contains(&job), since, now));
+            }
+        }
+    }
+    std::stable_sort(groups.begin(), groups.end(),
+                     [](auto const& left, auto const& right) {
+                         return std::tuple(left.order_class,
+                                           left.latest_start) <
+                                std::tuple(right.order_class,
+                                           right.latest_start);
+                     });
+    return groups;
+}
+
+std::vector<running_tasks> collect_running(job_map const& jobs,
+                                           core::time_point now)
+{
+    std::vector<running_tasks> groups;
+    for (auto const& [id, job] : jobs) {
+        std::map<step_key, std::size_t> gangs;
+        for (auto const& [task, run] : job.assignments) {
+            if (run.is_stopping())
+                continue;
+            auto const& step =
+                job.submission.spec.steps[static_cast<std::size_t>(task.step)];
+            step_key const key{task.occurrence, task.step};
+            auto const known = gangs.find(key);
+            if (!step.is_gang || known == gangs.end()) {
+                gangs[key] = groups.size();
+                groups.emplace_back();
+                groups.back().group.priority = job.submission.terms.priority;
+            }
+            auto& target = groups[gangs[key]];
+            target.tasks.push_back(task);
+            target.group.members.push_back({run.order.agent, run.task});
+            target.group.loss_core_seconds += loss_of(job, run, now);
+        }
+    }
+    return groups;
+}
+
+bool is_stalled(open_job const& job, assignment const& run,
+                core::time_point now)
+{
+    if (!run.seen_running_at || run.is_stopping())
+        return false;
+    auto const& step =
+        job.submission.spec
+            .steps[static_cast<std::size_t>(run.order.run.task.step)];
+    if (step.is_long_running)
+        return false;
+    auto const expected =
+        core::duration(static_cast<std::int64_t>(
+            stall_share_of_estimate *
+            static_cast<double>(step.estimate.count())));
+    return now - run.percent_changed_at > std::max(stall_time, expected);
+}
+
+std::vector<placement::worker>
+collect_workers(worker_map const& workers, job_map const& jobs,
+                placement::worker_health const& health, core::time_point now,
+                core::duration fresh_after)
+{
+    std::map<std::string, std::size_t> positions;
+    std::vector<placement::worker> result;
+    for (auto const& [agent, view] : workers) {
+        auto const& described = view.report.worker;
+        placement::worker entry;
+        entry.agent = agent;
+        entry.service = described.service;
+        entry.rack = described.rack;
+        entry.labels = described.labels;
+        entry.capacity = described.capacity;
+        entry.free = described.capacity;
+        entry.free_soon = described.capacity;
+        entry.is_accepting = described.state == jobs::worker_state::ready &&
+                             now - view.heard_at < fresh_after &&
+                             !health.is_avoided(agent, now);
+        entry.penalty = health.penalty(agent, now);
+        positions[agent] = result.size();
+        result.push_back(std::move(entry));
+    }
+    for (auto const& [id, job] : jobs) {
+        for (auto const& [task, run] : job.assignments) {
+            auto const position = positions.find(run.order.agent);
+            if (position == positions.end())
+                continue;
+            auto& entry = result[position->second];
+            entry.free -= run.task;
+            if (!run.is_stopping())
+                entry.free_soon -= run.task;
+            if (is_stalled(job, run, now))
+                entry.is_accepting = false;
+        }
+    }
+    return result;
+}
+
+} // namespace sequoiaroute::scheduler
