agents: Wait for the executor's lists before a start is repeated or reported refused

Cause: an agent that restarted sent the starts of its standing orders again at once.

Ruled out: lost acknowledgements, since the ends were still listed.

Change: an order that an earlier process may have sent waits for the lists; a refused run is stopped, and reported only after lists that do not show its end.

--- a/packages/agents/agent_service.cpp
+++ b/packages/agents/agent_service.cpp
@@ -17,6 +17,7 @@
 constexpr core::duration hold_wait{1000};
 constexpr core::duration report_timeout{1000};
 constexpr core::duration retry_delay{150};
+constexpr core::duration look_period{60};
 /// Connections refused on this machine for so long: the executor has ended.
 constexpr core::duration gone_after{1500};
 /// Slowest clock that an executor may have, as a share of true time.
@@ -169,6 +170,7 @@
         send(action);
     if (book_.end_count() != published_ends_)
         publish_if_due();
+    look();
 }
 
 void agent_service::send(run_book::action const& action)
@@ -221,14 +223,9 @@
     is_holding_ = true;
     auto const asked_at = timers_.now();
     bool const has_clock = clock_read_at_ != core::time_point{};
-    std::optional<std::int64_t> lease_end;
-    if (has_clock && may_extend_lease()) {
-        lease_end = lease_end_ms();
-        last_extended_at_ = asked_at;
-    }
     std::weak_ptr<bool> const alive = alive_;
     // The first call of all learns the clock and must not wait.
-    runtime_.hold(acknowledged_, lease_end,
+    runtime_.hold(acknowledged_, extend_lease(),
                   has_clock ? hold_wait : core::duration(0),
                   [this, alive, asked_at](executor_lists const& lists) {
                       if (alive.expired())
@@ -241,6 +238,34 @@
                   });
 }
 
+std::optional<std::int64_t> agent_service::extend_lease()
+{
+    if (clock_read_at_ == core::time_point{} || !may_extend_lease())
+        return std::nullopt;
+    last_extended_at_ = timers_.now();
+    return lease_end_ms();
+}
+
+/// Reads the lists at once, beside a call that waits for an end.
+void agent_service::look()
+{
+    auto const asked_at = timers_.now();
+    if (!is_holding_ || is_looking_ || !book_.needs_lists() ||
+        asked_at < look_allowed_at_)
+        return;
+    is_looking_ = true;
+    look_allowed_at_ = asked_at + look_period;
+    std::weak_ptr<bool> const alive = alive_;
+    runtime_.hold(acknowledged_, extend_lease(), core::duration(0),
+                  [this, alive, asked_at](executor_lists const& lists) {
+                      if (alive.expired())
+                          return;
+                      is_looking_ = false;
+                      if (lists.is_ok)
+                          receive_lists(lists, asked_at);
+                  });
+}
+
 void agent_service::receive_lists(executor_lists const& lists,
                                   core::time_point asked_at)
 {
--- a/packages/agents/agent_service.hpp
+++ b/packages/agents/agent_service.hpp
@@ -53,6 +53,8 @@
     void act();
     void send(run_book::action const& action);
     void hold();
+    void look();
+    std::optional<std::int64_t> extend_lease();
     void receive_lists(executor_lists const& lists, core::time_point asked_at);
     void receive_silence(bool is_refused);
     void stop_unordered();
@@ -82,6 +84,8 @@
     core::time_point clock_read_at_{};
 
     bool is_holding_ = false;
+    bool is_looking_ = false;
+    core::time_point look_allowed_at_{};
     std::optional<core::time_point> refused_since_;
     core::time_point hold_allowed_at_{};
     core::time_point last_extended_at_{};
--- a/packages/agents/run_book.cpp
+++ b/packages/agents/run_book.cpp
@@ -1,5 +1,6 @@
 #include "agents/run_book.hpp"
 
+#include <algorithm>
 #include <set>
 #include <utility>
 
@@ -19,8 +20,10 @@
     auto const run = order.run;
     auto const [found, is_new] = runs_.try_emplace(run);
     found->second.order = std::move(order);
-    if (is_new)
+    if (is_new) {
         found->second.may_be_sent = may_be_sent;
+        found->second.awaits_lists = may_be_sent;
+    }
 }
 
 void run_book::remove(jobs::run_id const& run)
@@ -76,6 +79,7 @@
     if (lists.born_ms != worker_.executor.born_ms)
         return;
     for (auto& [run, target] : runs_) {
+        target.awaits_lists = false;
         if (target.ended || listed.contains(run))
             continue;
         target.running.reset();
@@ -105,6 +109,8 @@
                 end(target, jobs::run_end::lost, {});
             continue;
         }
+        if (target.awaits_lists)
+            continue;
         bool const is_ready = worker_.state == jobs::worker_state::ready;
         if (wants_stop(target) || (!is_ready && !target.may_be_sent)) {
             if (!target.may_be_sent) {
@@ -156,7 +162,6 @@
         target.retry_at = now;
         return;
     case order_outcome::unknown:
-        target.has_open_start = true;
         target.retry_at = now + retry_after_silence;
         return;
     case order_outcome::wrong_executor:
@@ -169,12 +174,15 @@
     case order_outcome::refused:
         break;
     }
-    // An earlier start without an answer may still be carried out, so the run
-    // is barred first.
-    if (target.has_open_start)
-        target.is_to_bar = true;
-    else
-        end(target, jobs::run_end::refused, {});
+    target.is_to_bar = true;
+}
+
+bool run_book::needs_lists() const
+{
+    return std::any_of(runs_.begin(), runs_.end(), [](auto const& item) {
+        auto const& target = item.second;
+        return !target.ended && (target.awaits_lists || target.stopped_at);
+    });
 }
 
 std::vector<jobs::running_task> run_book::running() const
--- a/packages/agents/run_book.hpp
+++ b/packages/agents/run_book.hpp
@@ -35,7 +35,8 @@
     };
 
     /// Adds or changes an order.
-    /// @param may_be_sent an earlier process may have sent the start
+    /// @param may_be_sent an earlier process may have sent the start; the
+    ///        executor's lists are awaited before it is sent again
     void put(jobs::run_order order, bool may_be_sent);
 
     /// The decider has taken note of the end.
@@ -70,20 +71,23 @@
     /// @return a number that changes with each new end
     std::uint64_t end_count() const { return end_count_; }
 
-    bool is_empty() const { return runs_.empty(); }
+    /// @return whether the executor's lists are needed to go on
+    bool needs_lists() const;
 
 private:
     struct entry
     {
         jobs::run_order order;
         bool is_under_way = false; ///< a call waits for its answer
-        bool may_be_sent = false;  ///< a start was sent at some time
-        bool has_open_start = false; ///< a start had no answer
+        bool may_be_sent = false; ///< a start was sent at some time
+        bool awaits_lists = false; ///< nothing is sent before
         std::optional<core::time_point> started_at;
         std::optional<core::time_point> stopped_at;
         core::time_point retry_at{};
         std::int32_t refusals = 0;
-        bool is_to_bar = false; ///< stop it before it is reported as refused
+        /// The executor refused the start. A stop keeps an earlier start from
+        /// being carried out late; then the lists show whether it has ended.
+        bool is_to_bar = false;
         std::optional<jobs::running_task> running;
         std::optional<jobs::ended_task> ended;
     };
