--- a/packages/agents/agent_service.cpp
+++ b/packages/agents/agent_service.cpp
@@ -32,12 +32,12 @@
                              executor_runtime& runtime, options settings)
     : store_(store), timers_(timers), runtime_(runtime),
       options_(std::move(settings)),
-      orders_(store, timers,
-              {rows::layout::order_table_of(options_.agent),
-               core::duration(2000), core::duration(0),
-               rows::layout::order_prefix(options_.agent)},
-              [this](rows::row const& changed) { receive_order(changed); },
-              [this] { serve(); })
+      orders_(
+          store, timers,
+          {rows::layout::order_table_of(options_.agent), core::duration(2000),
+           core::duration(0), rows::layout::order_prefix(options_.agent)},
+          [this](rows::row const& changed) { receive_order(changed); },
+          [this] { serve(); })
 {
 }
 
@@ -50,29 +50,27 @@
 {
     auto const key = rows::layout::report_row(options_.agent);
     std::weak_ptr<bool> const alive = alive_;
-    store_.read(
-        {key.table, key.part, key.key, key.key + '\0', 1},
-        [this, alive](rows::page const& page) {
-            if (alive.expired())
-                return;
-            if (!page.is_ok) {
-                load_timer_ =
-                    timers_.after(retry_delay, [this] { load_report(); });
-                return;
-            }
-            if (!page.rows.empty()) {
-                report_version_ = page.rows[0].version;
-                current_report_ = page.rows[0].value;
-            }
-            orders_.start();
-        });
+    store_.read({key.table, key.part, key.key, key.key + '\0', 1},
+                [this, alive](rows::page const& page) {
+                    if (alive.expired())
+                        return;
+                    if (!page.is_ok) {
+                        load_timer_ = timers_.after(retry_delay,
+                                                    [this] { load_report(); });
+                        return;
+                    }
+                    if (!page.rows.empty()) {
+                        report_version_ = page.rows[0].version;
+                        current_report_ = page.rows[0].value;
+                    }
+                    orders_.start();
+                });
 }
 
 void agent_service::receive_order(rows::row const& changed)
 {
-    auto const& text =
-        changed.is_removed ? orders_.rows().at(changed.key).value
-                           : changed.value;
+    auto const& text = changed.is_removed ? orders_.rows().at(changed.key).value
+                                          : changed.value;
     auto order = jobs::decode_order(text);
     if (!core::is_ok(order)) {
         core::log_event("row_unreadable",
@@ -98,10 +96,10 @@
             for (auto const& ended : report.ended)
                 book_.restore_end(ended);
         }
-        core::log_event("agent_ready",
-                        {{"executor", worker_.executor.id},
-                         {"orders", static_cast<std::int64_t>(
-                                        orders_.rows().size())}});
+        core::log_event(
+            "agent_ready",
+            {{"executor", worker_.executor.id},
+             {"orders", static_cast<std::int64_t>(orders_.rows().size())}});
         tick_timer_ = timers_.every(tick_period, [this] {
             act();
             hold();
@@ -153,12 +151,11 @@
     }
     if (is_new || has_new_state || worker.capacity != worker_.capacity) {
         is_report_urgent_ = true;
-        core::log_event(
-            is_new ? "executor_joined" : "executor_changed",
-            {{"executor", worker.executor.id},
-             {"born_ms", worker.executor.born_ms},
-             {"state", static_cast<std::int64_t>(worker.state)},
-             {"remaining_ms", worker.remaining.count()}});
+        core::log_event(is_new ? "executor_joined" : "executor_changed",
+                        {{"executor", worker.executor.id},
+                         {"born_ms", worker.executor.born_ms},
+                         {"state", static_cast<std::int64_t>(worker.state)},
+                         {"remaining_ms", worker.remaining.count()}});
     }
     worker_ = std::move(worker);
     book_.set_executor(worker_);
@@ -181,12 +178,12 @@
             return;
         if (reply.clock_ms)
             note_clock(*reply.clock_ms);
-        core::log_event(
-            action.what == run_book::action::kind::start ? "start_answered"
-                                                         : "stop_answered",
-            {{"run", to_text(action.order.run)},
-             {"outcome", static_cast<std::int64_t>(reply.outcome)},
-             {"reason", reply.reason}});
+        core::log_event(action.what == run_book::action::kind::start
+                            ? "start_answered"
+                            : "stop_answered",
+                        {{"run", to_text(action.order.run)},
+                         {"outcome", static_cast<std::int64_t>(reply.outcome)},
+                         {"reason", reply.reason}});
         book_.receive_answer(action, reply, timers_.now());
         act_timer_ = timers_.after(core::duration(0), [this] { act(); });
     };
@@ -210,8 +207,8 @@
 
 bool agent_service::may_extend_lease() const
 {
-    return store_contact_at_ && timers_.now() - *store_contact_at_ <
-                                    options_.lease_without_store;
+    return store_contact_at_ &&
+           timers_.now() - *store_contact_at_ < options_.lease_without_store;
 }
 
 void agent_service::hold()
@@ -355,12 +352,12 @@
     changes.writes.push_back({key, current_report_});
     auto const acknowledged = highest_listed_;
     std::weak_ptr<bool> const alive = alive_;
-    store_.commit(std::move(changes), report_timeout,
-                  [this, alive,
-                   acknowledged](rows::commit_result const& result) {
-                      if (!alive.expired())
-                          receive_published(result, acknowledged);
-                  });
+    store_.commit(
+        std::move(changes), report_timeout,
+        [this, alive, acknowledged](rows::commit_result const& result) {
+            if (!alive.expired())
+                receive_published(result, acknowledged);
+        });
 }
 
 void agent_service::receive_published(rows::commit_result const& result,
--- a/packages/agents/run_book.cpp
+++ b/packages/agents/run_book.cpp
@@ -104,7 +104,8 @@
         auto const& wanted = target.order.executor;
         auto const& present = worker_.executor;
         if (wanted != present) {
-            // Orders go only to lives that were reported, so this one has ended.
+            // Orders go only to lives that were reported, so this one has
+            // ended.
             if (!present.id.empty())
                 end(target, jobs::run_end::lost, {});
             continue;
--- a/packages/agents/run_book.hpp
+++ b/packages/agents/run_book.hpp
@@ -79,7 +79,7 @@
     {
         jobs::run_order order;
         bool is_under_way = false; ///< a call waits for its answer
-        bool may_be_sent = false; ///< a start was sent at some time
+        bool may_be_sent = false;  ///< a start was sent at some time
         bool awaits_lists = false; ///< nothing is sent before
         std::optional<core::time_point> started_at;
         std::optional<core::time_point> stopped_at;
--- a/packages/core/event_log.cpp
+++ b/packages/core/event_log.cpp
@@ -41,8 +41,8 @@
     log.refilled_at = now;
     log.tokens = std::min(
         static_cast<double>(log.limits.burst_lines),
-        log.tokens + passed.count() *
-                         static_cast<double>(log.limits.lines_per_second));
+        log.tokens +
+            passed.count() * static_cast<double>(log.limits.lines_per_second));
     if (log.tokens < 1)
         return false;
     log.tokens -= 1;
@@ -68,9 +68,9 @@
         std::chrono::system_clock::now().time_since_epoch());
     nlohmann::ordered_json line{
         {"time_ms", now.count()}, {"node", node}, {"event", event}};
-    for (auto const& [key, value] : fields) {
-        std::visit([&](auto const& plain) { line[std::string(key)] = plain; },
-                   value);
+    for (auto const& field : fields) {
+        auto& target = line[std::string(field.first)];
+        std::visit([&](auto const& plain) { target = plain; }, field.second);
     }
     return line.dump(-1, ' ', false,
                      nlohmann::ordered_json::error_handler_t::replace);
@@ -99,8 +99,8 @@
     if (log.dropped == log.reported_dropped)
         return;
     auto const missing = log.dropped - log.reported_dropped;
-    if (write_line(format_line(log.node, "log_lines_dropped",
-                               {{"count", missing}})))
+    if (write_line(
+            format_line(log.node, "log_lines_dropped", {{"count", missing}})))
         log.reported_dropped = log.dropped;
 }
 
--- a/packages/core/settings.cpp
+++ b/packages/core/settings.cpp
@@ -40,8 +40,8 @@
 {
     double number = 0;
     auto const* const end = text.data() + text.size();
-    auto const outcome = std::from_chars(text.data(), end, number,
-                                         std::chars_format::fixed);
+    auto const outcome =
+        std::from_chars(text.data(), end, number, std::chars_format::fixed);
     if (outcome.ec != std::errc() || outcome.ptr != end || number < 0)
         return std::nullopt;
     return number;
--- a/packages/event/evhttp_client.cpp
+++ b/packages/event/evhttp_client.cpp
@@ -4,7 +4,6 @@
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
-#include <cerrno>
 #include <charconv>
 
 namespace sequoiaroute::event {
@@ -71,7 +70,6 @@
 
     static void on_answer(evhttp_request* request, void* argument)
     {
-        int const failure = errno;
         auto* const self = static_cast<exchange*>(argument);
         http_reply reply;
         if (request != nullptr)
@@ -79,7 +77,8 @@
         if (reply.has_answer())
             reply.body = take_body(request);
         else
-            reply.is_refused = failure == ECONNREFUSED;
+            // Without a connection, libevent hands back the unsent request.
+            reply.is_refused = request != nullptr;
         self->owner.finish(self, std::move(reply));
     }
 };
@@ -93,9 +92,8 @@
     auto next = std::unique_ptr<exchange>(new exchange{
         *this, std::move(call), std::move(done), nullptr, nullptr, false});
     auto* const key = next.get();
-    next->timeout = loop_.after(next->call.timeout, [this, key] {
-        expire(key);
-    });
+    next->timeout =
+        loop_.after(next->call.timeout, [this, key] { expire(key); });
     auto& target = pools_[next->call.address];
     if (target.busy_count >= connections_per_address) {
         target.waiting.push_back(std::move(next));
@@ -109,9 +107,8 @@
     auto& target = pools_[next->call.address];
     auto const [host, port] = split_address(next->call.address);
     if (target.idle.empty()) {
-        next->carrier = std::make_unique<connection>(
-            evhttp_connection_base_new(loop_.base(), nullptr, host.c_str(),
-                                       port));
+        next->carrier = std::make_unique<connection>(evhttp_connection_base_new(
+            loop_.base(), nullptr, host.c_str(), port));
     } else {
         next->carrier = std::move(target.idle.back());
         target.idle.pop_back();
@@ -130,8 +127,7 @@
                  self->call.body.data(), self->call.body.size());
     // A failure is reported through the callback, so the status adds nothing.
     evhttp_make_request(self->carrier->handle, request,
-                        command_of(self->call.method),
-                        self->call.path.c_str());
+                        command_of(self->call.method), self->call.path.c_str());
 }
 
 void evhttp_client::expire(exchange* exchange)
--- a/packages/event/http_server.cpp
+++ b/packages/event/http_server.cpp
@@ -91,8 +91,7 @@
     for (auto const& [name, text] : answer.headers)
         evhttp_add_header(headers, name.c_str(), text.c_str());
     if (!answer.body.empty()) {
-        evhttp_add_header(headers, "Content-Type",
-                          answer.content_type.c_str());
+        evhttp_add_header(headers, "Content-Type", answer.content_type.c_str());
     }
     if (is_closing)
         evhttp_add_header(headers, "Connection", "close");
@@ -109,9 +108,9 @@
                     handler handle)
 {
     auto const fail = [&](std::string_view reason) {
-        return core::error{core::result_code::internal_error,
-                           fmt::format("cannot listen on {}: {}", address,
-                                       reason)};
+        return core::error{
+            core::result_code::internal_error,
+            fmt::format("cannot listen on {}: {}", address, reason)};
     };
     auto const parsed = parse_address(address);
     if (!parsed)
@@ -140,8 +139,7 @@
       is_closing_(std::make_shared<bool>(false))
 {
     evhttp_set_allowed_methods(server_, EVHTTP_REQ_GET | EVHTTP_REQ_POST |
-                                            EVHTTP_REQ_PUT |
-                                            EVHTTP_REQ_DELETE |
+                                            EVHTTP_REQ_PUT | EVHTTP_REQ_DELETE |
                                             EVHTTP_REQ_HEAD);
     evhttp_set_max_headers_size(
         server_, static_cast<std::int64_t>(limits_.header_bytes));
--- a/packages/event/http_server.hpp
+++ b/packages/event/http_server.hpp
@@ -47,8 +47,8 @@
     /// Bounds of what clients may send.
     struct limits
     {
-        std::size_t header_bytes = 16 * 1024;
-        std::size_t body_bytes = 4 * 1024 * 1024;
+        std::size_t header_bytes = 16'384;
+        std::size_t body_bytes = 4'194'304;
         core::duration idle_time{60'000};
         /// The header in which callers say how long they wait.
         std::string time_limit_header;
--- a/packages/gateway/customer_service.cpp
+++ b/packages/gateway/customer_service.cpp
@@ -128,8 +128,7 @@
     }
 }
 
-void customer_service::submit(customer_call call,
-                              jobs::queue_rule const& queue,
+void customer_service::submit(customer_call call, jobs::queue_rule const& queue,
                               std::string job_id, customer_responder respond)
 {
     if (!call.spec || !is_valid(*call.spec)) {
@@ -158,7 +157,7 @@
     auto const limit = call.time_limit > core::duration(0) ? call.time_limit
                                                            : default_time_limit;
     write->give_up_at = timers_.now() + limit - answer_reserve;
-    send(std::move(write));
+    send(write);
 }
 
 void customer_service::cancel(std::string const& job_id,
@@ -179,7 +178,7 @@
     write->give_up_at = timers_.now() + limit - answer_reserve;
     if (known) {
         write->respond = std::move(respond);
-        return send(std::move(write));
+        return send(write);
     }
     // This entry's copy may lack a job that another entry has just accepted.
     write->respond = respond;
@@ -217,11 +216,10 @@
                 });
 }
 
-void customer_service::send(std::shared_ptr<pending_write> write)
+void customer_service::send(std::shared_ptr<pending_write> const& write)
 {
     auto const left = write->give_up_at - timers_.now();
-    auto const timeout =
-        std::clamp(left, core::duration(100), write_timeout);
+    auto const timeout = std::clamp(left, core::duration(100), write_timeout);
     auto const& changes = write->changes;
     store_.commit(changes, timeout,
                   [this, write](rows::commit_result const& result) {
@@ -255,11 +253,11 @@
         log_call("write_unknown", write->job_id, "the store gave no answer");
         return write->respond(make_refusal(call_outcome::unknown));
     }
-    // The timer must not own the write that owns it.
-    auto const again = write;
-    write->retry_timer = timers_.after(retry_delay, [this, again] {
-        auto const timer = std::move(again->retry_timer);
-        send(again);
+    // The callback takes the timer out of the write, since each owns the
+    // other.
+    write->retry_timer = timers_.after(retry_delay, [this, write] {
+        auto const timer = std::move(write->retry_timer);
+        send(write);
     });
 }
 
--- a/packages/gateway/customer_service.hpp
+++ b/packages/gateway/customer_service.hpp
@@ -23,8 +23,7 @@
     /// @param work the copy of the work table
     /// @param directory what that copy says of jobs
     customer_service(rows::row_store& store, event::timer_service& timers,
-                     rules_source const& rules,
-                     rows::table_replica const& work,
+                     rules_source const& rules, rows::table_replica const& work,
                      job_directory const& directory);
 
     /// Answers a call.
@@ -44,7 +43,7 @@
                 customer_responder respond);
     void read_state(std::string const& job_id, customer_responder respond);
     void ask_store(std::string const& job_id, customer_responder respond);
-    void send(std::shared_ptr<pending_write> write);
+    void send(std::shared_ptr<pending_write> const& write);
     void receive(std::shared_ptr<pending_write> const& write,
                  rows::commit_result const& result);
 
--- a/packages/gateway/job_directory.cpp
+++ b/packages/gateway/job_directory.cpp
@@ -20,8 +20,8 @@
 
 void log_unreadable(rows::row const& changed, core::error const& fault)
 {
-    core::log_event("row_unreadable", {{"key", changed.key.key},
-                                       {"fault", fault.message}});
+    core::log_event("row_unreadable",
+                    {{"key", changed.key.key}, {"fault", fault.message}});
 }
 
 } // namespace
@@ -97,9 +97,9 @@
     return static_cast<std::size_t>(
         std::count_if(jobs_.begin(), jobs_.end(), [&](auto const& entry) {
             auto const& job = entry.second;
-            return job.is_submitted && job.queue == queue &&
-                   !job.is_repeated && !job.has_started &&
-                   !job.is_cancelled && !jobs::is_final(job.state);
+            return job.is_submitted && job.queue == queue && !job.is_repeated &&
+                   !job.has_started && !job.is_cancelled &&
+                   !jobs::is_final(job.state);
         }));
 }
 
--- a/packages/jobs/job_spec.hpp
+++ b/packages/jobs/job_spec.hpp
@@ -84,6 +84,8 @@
     std::int32_t step = 0;
     std::int32_t index = 0;
 
+    // clang-tidy 14 misreads the defaulted operator.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(task_id const&) const = default;
 };
 
@@ -94,6 +96,8 @@
     task_id task;
     std::int64_t run = 0;
 
+    // clang-tidy 14 misreads the defaulted operator.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(run_id const&) const = default;
 };
 
--- a/packages/jobs/row_codec.cpp
+++ b/packages/jobs/row_codec.cpp
@@ -80,8 +80,8 @@
 
 json to_json(run_id const& run)
 {
-    return {run.task.job_id, run.task.occurrence, run.task.step,
-            run.task.index, run.run};
+    return {run.task.job_id, run.task.occurrence, run.task.step, run.task.index,
+            run.run};
 }
 
 run_id run_from(json const& document)
@@ -127,9 +127,8 @@
 
 job_state state_from(std::string const& text)
 {
-    for (auto const state :
-         {job_state::running, job_state::completed, job_state::failed,
-          job_state::cancelled}) {
+    for (auto const state : {job_state::running, job_state::completed,
+                             job_state::failed, job_state::cancelled}) {
         if (name(state) == text)
             return state;
     }
@@ -264,8 +263,7 @@
 {
     json running = json::array();
     for (auto const& task : value.running) {
-        running.push_back(
-            {to_json(task.run), task.checkpoint, task.percent});
+        running.push_back({to_json(task.run), task.checkpoint, task.percent});
     }
     json ended = json::array();
     for (auto const& task : value.ended)
@@ -287,9 +285,9 @@
                 {run_from(task.at(0)), task.at(1), task.at(2)});
         }
         for (auto const& task : document.at("ended")) {
-            value.ended.push_back(
-                {run_from(task.at(0)),
-                 run_end_of(task.at(1).get<std::string>()), task.at(2)});
+            value.ended.push_back({run_from(task.at(0)),
+                                   run_end_of(task.at(1).get<std::string>()),
+                                   task.at(2)});
         }
         return value;
     });
--- a/packages/jobs/rules.hpp
+++ b/packages/jobs/rules.hpp
@@ -28,7 +28,7 @@
     std::map<std::string, std::string> customer_by_key;
     /// Accelerators that belong to a customer's urgent jobs at all times.
     std::map<std::string, std::int64_t> guaranteed_accelerators;
-    std::size_t max_body_bytes = 1024 * 1024;
+    std::size_t max_body_bytes = 1'048'576;
 
     /// Finds the queue whose prefix is the longest one that a path begins with.
     /// @param host the host of the request
--- a/packages/jobs/worker_report.hpp
+++ b/packages/jobs/worker_report.hpp
@@ -16,6 +16,8 @@
     std::string id;
     std::int64_t born_ms = 0;
 
+    // clang-tidy 14 misreads the defaulted operator.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(incarnation const&) const = default;
 };
 
--- a/packages/placement/placement_round.cpp
+++ b/packages/placement/placement_round.cpp
@@ -19,9 +19,9 @@
 
 bool has_label(worker const& worker, std::string const& label)
 {
-    return label.empty() || std::find(worker.labels.begin(),
-                                      worker.labels.end(),
-                                      label) != worker.labels.end();
+    return label.empty() ||
+           std::find(worker.labels.begin(), worker.labels.end(), label) !=
+               worker.labels.end();
 }
 
 bool is_candidate(worker const& worker, waiting_group const& group)
@@ -53,8 +53,7 @@
     if (group.max_per_worker == 0)
         return slots;
     auto const running = group.running_on.find(worker.agent);
-    auto const taken =
-        running == group.running_on.end() ? 0 : running->second;
+    auto const taken = running == group.running_on.end() ? 0 : running->second;
     auto const left =
         group.max_per_worker > taken ? group.max_per_worker - taken : 0;
     return std::min(slots, left);
@@ -177,8 +176,7 @@
     round_result take_result() { return std::move(result_); }
 
 private:
-    void take(waiting_group const& group,
-              std::span<std::string const> agents)
+    void take(waiting_group const& group, std::span<std::string const> agents)
     {
         for (auto const& agent : agents) {
             auto* const target = find_worker(workers_, agent);
@@ -337,8 +335,8 @@
             std::int64_t free = 0;
             for (auto const* candidate : candidates) {
                 auto const wanted = group.count - chosen.agents.size();
-                auto const taken = std::min(
-                    wanted, slots_in(candidate->capacity, group));
+                auto const taken =
+                    std::min(wanted, slots_in(candidate->capacity, group));
                 chosen.agents.insert(chosen.agents.end(), taken,
                                      candidate->agent);
                 free += candidate->free_soon.accelerators;
@@ -366,8 +364,7 @@
 } // namespace
 
 std::vector<std::string> fit_group(std::span<worker const> workers,
-                                   waiting_group const& group,
-                                   room_member room)
+                                   waiting_group const& group, room_member room)
 {
     fit best;
     for (auto const& scope : scopes_of(workers, group)) {
--- a/packages/programs/schedule_entry.cpp
+++ b/packages/programs/schedule_entry.cpp
@@ -70,15 +70,15 @@
                    core::settings settings)
         : settings_(std::move(settings)), loop_(std::move(loop)),
           client_(*loop_), store_(client_, settings_.text("store.address")),
-          rules_(store_, *loop_),
-          work_(store_, *loop_,
-                {std::string(rows::layout::work_table), work_feed_wait,
-                 core::duration(0),
-                 {}},
-                [this](rows::row const& changed) {
-                    directory_.observe(changed);
-                    decider_.observe(changed);
-                }),
+          rules_(store_, *loop_), work_(store_, *loop_,
+                                        {std::string(rows::layout::work_table),
+                                         work_feed_wait,
+                                         core::duration(0),
+                                         {}},
+                                        [this](rows::row const& changed) {
+                                            directory_.observe(changed);
+                                            decider_.observe(changed);
+                                        }),
           customers_(store_, *loop_, rules_, work_, directory_),
           decider_(store_, *loop_, work_, [this] { return rules_.current(); },
                    {settings_.text("process.node"), limits_from(settings_)})
@@ -87,20 +87,19 @@
 
     core::status run()
     {
-        SEQUOIA_TRY_INTO(
-            customer_server_,
-            adapter::customer_server::create(
-                *loop_, settings_.text("listen.customers"),
-                [this](gateway::customer_call call,
-                       gateway::customer_responder respond) {
-                    customers_.handle(std::move(call), std::move(respond));
-                }));
+        SEQUOIA_TRY_INTO(customer_server_,
+                         adapter::customer_server::create(
+                             *loop_, settings_.text("listen.customers"),
+                             [this](gateway::customer_call call,
+                                    gateway::customer_responder respond) {
+                                 customers_.handle(std::move(call),
+                                                   std::move(respond));
+                             }));
         SEQUOIA_TRY_INTO(
             readiness_server_,
             adapter::create_readiness_server(
-                *loop_, settings_.text("listen.readiness"), [this] {
-                    return !is_stopping_ && customers_.is_ready();
-                }));
+                *loop_, settings_.text("listen.readiness"),
+                [this] { return !is_stopping_ && customers_.is_ready(); }));
         auto const terminate =
             loop_->on_signal(SIGTERM, [this] { begin_stop(); });
         auto const interrupt =
--- a/packages/programs/store_agent.hpp
+++ b/packages/programs/store_agent.hpp
@@ -12,7 +12,6 @@
 /// @param only_check whether to return once the settings are checked
 /// @return success after a graceful stop; bad_settings, or internal_error if
 ///         an address cannot be had
-core::status run_store_agent(std::string const& settings_path,
-                             bool only_check);
+core::status run_store_agent(std::string const& settings_path, bool only_check);
 
 } // namespace sequoiaroute::programs
--- a/packages/rows/row_store.hpp
+++ b/packages/rows/row_store.hpp
@@ -24,6 +24,8 @@
     std::string part;
     std::string key;
 
+    // clang-tidy 14 misreads the defaulted operator.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(row_key const&) const = default;
 };
 
--- a/packages/rows/table_replica.cpp
+++ b/packages/rows/table_replica.cpp
@@ -48,7 +48,22 @@
 {
     sent_at_ = timers_.now();
     loading_.clear();
-    loading_version_.reset();
+    std::weak_ptr<bool> const alive = alive_;
+    // Changes are followed from before the parts are listed, so that a part
+    // that appears meanwhile is not missed.
+    store_.read({options_.table, {}, {}, std::nullopt, 1},
+                [this, alive](page const& result) {
+                    if (alive.expired())
+                        return;
+                    if (!result.is_ok)
+                        return retry([this] { load(); });
+                    loading_version_ = result.version;
+                    list_parts();
+                });
+}
+
+void table_replica::list_parts()
+{
     std::weak_ptr<bool> const alive = alive_;
     store_.list_parts(options_.table, [this, alive](part_list const& list) {
         if (alive.expired())
@@ -62,13 +77,12 @@
 void table_replica::load_parts(std::vector<std::string> parts)
 {
     parts_to_load_ = std::move(parts);
-    // A table without rows has no parts, yet its version is needed to follow.
     if (parts_to_load_.empty())
-        parts_to_load_.emplace_back();
-    load_page(parts_to_load_.back(), options_.key_prefix);
+        return finish_load();
+    load_page(std::string(parts_to_load_.back()), options_.key_prefix);
 }
 
-void table_replica::load_page(std::string part, std::string from)
+void table_replica::load_page(std::string const& part, std::string from)
 {
     range wanted{options_.table, part, std::move(from), std::nullopt};
     if (!options_.key_prefix.empty()) {
@@ -81,9 +95,6 @@
             return;
         if (!result.is_ok)
             return retry([this] { load(); });
-        // Changes after the first page are delivered by the feed.
-        if (!loading_version_)
-            loading_version_ = result.version;
         std::string last;
         for (auto& entry : result.rows) {
             last = entry.key.key;
@@ -94,7 +105,7 @@
         parts_to_load_.pop_back();
         if (parts_to_load_.empty())
             return finish_load();
-        load_page(parts_to_load_.back(), options_.key_prefix);
+        load_page(std::string(parts_to_load_.back()), options_.key_prefix);
     });
 }
 
@@ -103,13 +114,13 @@
     std::vector<row> removed;
     for (auto const& [key, entry] : rows_) {
         if (!loading_.contains(key))
-            removed.push_back({key, {}, *loading_version_, true});
+            removed.push_back({key, {}, loading_version_, true});
     }
     for (auto& entry : removed)
         apply(std::move(entry));
     for (auto& [key, entry] : std::exchange(loading_, {}))
         apply(std::move(entry));
-    version_ = *loading_version_;
+    version_ = loading_version_;
     confirmed_at_ = sent_at_;
     if (on_pass_)
         on_pass_();
--- a/packages/rows/table_replica.hpp
+++ b/packages/rows/table_replica.hpp
@@ -62,8 +62,9 @@
 
 private:
     void load();
+    void list_parts();
     void load_parts(std::vector<std::string> parts);
-    void load_page(std::string part, std::string from);
+    void load_page(std::string const& part, std::string from);
     void finish_load();
     void follow();
     void receive(feed_page page);
@@ -83,7 +84,7 @@
     // State of a reading of the whole table.
     std::vector<std::string> parts_to_load_;
     std::map<row_key, row> loading_;
-    std::optional<row_version> loading_version_;
+    row_version loading_version_ = no_row;
     std::unique_ptr<event::timer> retry_timer_;
     /// Callbacks of the store hold it weakly, so that they end with this
     /// object.
--- a/packages/scheduler/commit_queue.cpp
+++ b/packages/scheduler/commit_queue.cpp
@@ -46,9 +46,8 @@
             document.value("renewals", std::int64_t{0})};
 }
 
-commit_queue::commit_queue(rows::row_store& store,
-                           event::timer_service& timers, lease_record lease,
-                           rows::row_version version,
+commit_queue::commit_queue(rows::row_store& store, event::timer_service& timers,
+                           lease_record lease, rows::row_version version,
                            std::function<void(notice)> observer)
     : store_(store), timers_(timers), lease_(std::move(lease)),
       version_(version), observer_(std::move(observer)),
@@ -56,7 +55,7 @@
 {
 }
 
-void commit_queue::push(std::vector<job_change> changes)
+void commit_queue::push(std::span<job_change const> changes)
 {
     for (auto const& change : changes)
         append(change);
@@ -95,8 +94,7 @@
     // one transaction is not divided.
     auto const size = writes.size() + removals.size();
     if (waiting_.empty() ||
-        waiting_.back().writes.size() + waiting_.back().removals.size() +
-                size >
+        waiting_.back().writes.size() + waiting_.back().removals.size() + size >
             entries_per_transaction)
         waiting_.emplace_back();
     for (auto& key : removals) {
--- a/packages/scheduler/commit_queue.hpp
+++ b/packages/scheduler/commit_queue.hpp
@@ -8,6 +8,7 @@
 #include <deque>
 #include <functional>
 #include <memory>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -54,7 +55,7 @@
                  std::function<void(notice)> observer);
 
     /// Adds changes of jobs.
-    void push(std::vector<job_change> changes);
+    void push(std::span<job_change const> changes);
 
     /// Writes only the lease row, if nothing is being written.
     void renew();
--- a/packages/scheduler/decider_service.cpp
+++ b/packages/scheduler/decider_service.cpp
@@ -73,8 +73,7 @@
 decider_service::decider_service(
     rows::row_store& store, event::timer_service& timers,
     rows::table_replica const& work,
-    std::function<std::shared_ptr<jobs::rules const>()> rules,
-    options settings)
+    std::function<std::shared_ptr<jobs::rules const>()> rules, options settings)
     : store_(store), timers_(timers), work_(work), rules_(std::move(rules)),
       options_(std::move(settings)),
       // The time of day may jump later; the steady clock does not.
@@ -102,8 +101,8 @@
 
 void decider_service::observe_lease(rows::row const& changed)
 {
-    seen_lease_ = changed.is_removed ? lease_record{}
-                                     : decode_lease(changed.value);
+    seen_lease_ =
+        changed.is_removed ? lease_record{} : decode_lease(changed.value);
     seen_version_ = changed.is_removed ? rows::no_row : changed.version;
     lease_changed_at_ = timers_.now();
     if (commits_ != nullptr && core_ == nullptr)
@@ -169,14 +168,15 @@
 
 void decider_service::become_decider(rows::row_version version)
 {
-    core::log_event("lease_acquired",
-                    {{"term", wanted_->term},
-                     {"previous", seen_lease_.holder},
-                     {"unchanged_ms",
-                      (timers_.now() - lease_changed_at_).count()}});
+    core::log_event(
+        "lease_acquired",
+        {{"term", wanted_->term},
+         {"previous", seen_lease_.holder},
+         {"unchanged_ms", (timers_.now() - lease_changed_at_).count()}});
     acquired_version_ = version;
     commits_ = std::make_unique<commit_queue>(
-        store_, timers_, *wanted_, version, [this](commit_queue::notice notice) {
+        store_, timers_, *wanted_, version,
+        [this](commit_queue::notice notice) {
             if (notice == commit_queue::notice::lease_lost) {
                 // The queue must not be destroyed from its own callback.
                 resign_timer_ = timers_.after(core::duration(0), [this] {
@@ -192,7 +192,8 @@
     reports_ = std::make_unique<rows::table_replica>(
         store_, timers_,
         rows::table_replica::options{std::string(rows::layout::reports_table),
-                                     core::duration(1000), round_delay,
+                                     core::duration(1000),
+                                     round_delay,
                                      {}},
         [this](rows::row const& changed) { receive_report(changed); },
         [this] { decide_soon(); });
@@ -235,8 +236,7 @@
             for (auto const& row : page.rows) {
                 auto order = jobs::decode_order(row.value);
                 if (core::is_ok(order)) {
-                    loaded_orders_.push_back(
-                        core::value(std::move(order)));
+                    loaded_orders_.push_back(core::value(std::move(order)));
                 } else {
                     core::log_event("row_unreadable",
                                     {{"key", row.key.key},
@@ -250,11 +250,10 @@
 
 void decider_service::build_core_if_loaded()
 {
-    bool const has_own_lease = work_.version_of(rows::layout::lease_row()) >=
-                               acquired_version_;
+    bool const has_own_lease =
+        work_.version_of(rows::layout::lease_row()) >= acquired_version_;
     if (core_ != nullptr || commits_ == nullptr || !has_own_lease ||
-        !reports_->is_loaded() ||
-        loaded_tables_ != rows::layout::order_tables)
+        !reports_->is_loaded() || loaded_tables_ != rows::layout::order_tables)
         return;
     core_ = std::make_unique<scheduler_core>(options_.limits);
     std::vector<rows::row const*> ordered;
@@ -309,9 +308,9 @@
     if (key.starts_with(rows::layout::job_prefix)) {
         auto job = jobs::decode_submission(changed.value);
         if (!core::is_ok(job)) {
-            core::log_event("row_unreadable",
-                            {{"key", key},
-                             {"fault", core::failure(job).message}});
+            core::log_event(
+                "row_unreadable",
+                {{"key", key}, {"fault", core::failure(job).message}});
             return;
         }
         core_->add_submission(core::value(std::move(job)), timers_.now());
@@ -356,11 +355,11 @@
     has_news_ = false;
     if (auto rules = rules_(); rules != nullptr)
         core_->set_rules(std::move(rules));
-    auto changes = core_->decide(current_moment());
+    auto const changes = core_->decide(current_moment());
     if (changes.empty())
         return;
     log_changes(changes);
-    commits_->push(std::move(changes));
+    commits_->push(changes);
 }
 
 moment decider_service::current_moment() const
--- a/packages/scheduler/group_builder.cpp
+++ b/packages/scheduler/group_builder.cpp
@@ -173,13 +173,11 @@
         group.preemption_budget = urgent_budget;
     result.tasks = std::move(tasks);
     result.order_class = group.priority > 0 ? 2 : (is_guaranteed ? 0 : 1);
-    result.latest_start =
-        group.priority > 0 ? latest_start(job) : job.seen_at;
+    result.latest_start = group.priority > 0 ? latest_start(job) : job.seen_at;
     return result;
 }
 
-double loss_of(open_job const& job, assignment const& run,
-               core::time_point now)
+double loss_of(open_job const& job, assignment const& run, core::time_point now)
 {
     if (!run.seen_running_at)
         return 0;
@@ -209,9 +207,8 @@
     });
 }
 
-std::vector<waiting_tasks> collect_waiting(job_map& jobs,
-                                           jobs::rules const& rules,
-                                           core::time_point now)
+std::vector<waiting_tasks>
+collect_waiting(job_map& jobs, jobs::rules const& rules, core::time_point now)
 {
     auto const covered = guaranteed_jobs(jobs, rules);
     std::vector<waiting_tasks> groups;
@@ -242,13 +239,11 @@
             }
         }
     }
-    std::stable_sort(groups.begin(), groups.end(),
-                     [](auto const& left, auto const& right) {
-                         return std::tuple(left.order_class,
-                                           left.latest_start) <
-                                std::tuple(right.order_class,
-                                           right.latest_start);
-                     });
+    std::stable_sort(
+        groups.begin(), groups.end(), [](auto const& left, auto const& right) {
+            return std::tuple(left.order_class, left.latest_start) <
+                   std::tuple(right.order_class, right.latest_start);
+        });
     return groups;
 }
 
@@ -289,10 +284,8 @@
             .steps[static_cast<std::size_t>(run.order.run.task.step)];
     if (step.is_long_running)
         return false;
-    auto const expected =
-        core::duration(static_cast<std::int64_t>(
-            stall_share_of_estimate *
-            static_cast<double>(step.estimate.count())));
+    auto const expected = core::duration(static_cast<std::int64_t>(
+        stall_share_of_estimate * static_cast<double>(step.estimate.count())));
     return now - run.percent_changed_at > std::max(stall_time, expected);
 }
 
--- a/packages/scheduler/group_builder.hpp
+++ b/packages/scheduler/group_builder.hpp
@@ -35,16 +35,14 @@
 
 /// @return whether all tasks of the steps that a step waits for are done
 bool is_step_due(jobs::submission const& job,
-                 jobs::occurrence_progress const& occurrence,
-                 std::size_t step);
+                 jobs::occurrence_progress const& occurrence, std::size_t step);
 
 /// Collects the tasks that wait, the most urgent first.
 /// @param jobs all open jobs; remembers since when a step waits
 /// @param rules the guarantees
 /// @param now the current time
-std::vector<waiting_tasks> collect_waiting(job_map& jobs,
-                                           jobs::rules const& rules,
-                                           core::time_point now);
+std::vector<waiting_tasks>
+collect_waiting(job_map& jobs, jobs::rules const& rules, core::time_point now);
 
 /// Collects the runs that may be stopped in favour of others.
 std::vector<running_tasks> collect_running(job_map const& jobs,
--- a/packages/scheduler/open_job.hpp
+++ b/packages/scheduler/open_job.hpp
@@ -18,6 +18,8 @@
     std::int64_t occurrence = 0;
     std::int32_t step = 0;
 
+    // clang-tidy 14 misreads the defaulted operator.
+    // NOLINTNEXTLINE(modernize-use-nullptr)
     auto operator<=>(step_key const&) const = default;
 };
 
@@ -28,6 +30,7 @@
     jobs::resources task;
     /// First seen at work, if it was.
     std::optional<core::time_point> seen_running_at;
+    std::int32_t first_percent = 0; ///< when it was first seen
     std::int32_t percent = 0;
     core::time_point percent_changed_at{};
     /// A member of its gang has ended.
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -14,7 +14,7 @@
 constexpr std::int32_t stalled_restart_percent = 50;
 /// ... or has stood still for so long.
 constexpr core::duration stalled_limit{8000};
-/// Below this percent the rate of a run says little.
+/// A smaller advance says little of the rate of a run.
 constexpr std::int32_t rate_percent = 5;
 
 jobs::occurrence_progress make_occurrence(jobs::job_spec const& spec)
@@ -29,12 +29,12 @@
 
 bool is_occurrence_done(jobs::occurrence_progress const& occurrence)
 {
-    return std::all_of(
-        occurrence.steps.begin(), occurrence.steps.end(),
-        [](auto const& tasks) {
-            return std::all_of(tasks.begin(), tasks.end(),
+    return std::all_of(occurrence.steps.begin(), occurrence.steps.end(),
+                       [](auto const& tasks) {
+                           return std::all_of(
+                               tasks.begin(), tasks.end(),
                                [](auto const& task) { return task.is_done; });
-        });
+                       });
 }
 
 jobs::task_progress* find_task(open_job& job, jobs::task_id const& id)
@@ -74,12 +74,11 @@
                                   core::time_point now)
 {
     auto const estimate = step_of(job, run.order.run.task).estimate;
-    if (!run.seen_running_at)
-        return estimate;
+    auto const advance = run.percent - run.first_percent;
+    if (!run.seen_running_at || advance < rate_percent)
+        return estimate * (100 - run.percent) / 100;
     auto const elapsed = now - *run.seen_running_at;
-    if (run.percent < rate_percent)
-        return std::max(estimate - elapsed, core::duration(0));
-    return elapsed * (100 - run.percent) / run.percent;
+    return elapsed * (100 - run.percent) / advance;
 }
 
 } // namespace
@@ -125,8 +124,7 @@
         return;
     auto& job = found->second;
     auto const& task = order.run.task;
-    if (static_cast<std::size_t>(task.step) >=
-        job.submission.spec.steps.size())
+    if (static_cast<std::size_t>(task.step) >= job.submission.spec.steps.size())
         return;
     assignment run;
     run.task = step_of(job, task).task;
@@ -138,8 +136,7 @@
 void scheduler_core::cancel(std::string const& job_id)
 {
     auto const found = jobs_.find(job_id);
-    if (found == jobs_.end() ||
-        jobs::is_final(found->second.progress.state))
+    if (found == jobs_.end() || jobs::is_final(found->second.progress.state))
         return;
     found->second.is_cancelled = true;
 }
@@ -170,8 +167,10 @@
         auto& known = run->second;
         if (!known.seen_running_at || known.percent != task.percent)
             known.percent_changed_at = now;
-        if (!known.seen_running_at)
+        if (!known.seen_running_at) {
             known.seen_running_at = now;
+            known.first_percent = task.percent;
+        }
         known.percent = task.percent;
     }
 }
@@ -191,8 +190,8 @@
             if (order.agent != report.agent)
                 continue;
             if (auto const end = ended.find(order.run); end != ended.end()) {
-                end_run(job, current, end->second->end,
-                        end->second->checkpoint, now);
+                end_run(job, current, end->second->end, end->second->checkpoint,
+                        now);
             } else if (is_gone || order.executor != report.worker.executor) {
                 end_run(job, current, jobs::run_end::lost, {}, now);
             }
@@ -206,8 +205,8 @@
 {
     auto const order = run->second.order;
     job.assignments.erase(run);
-    change_of(job).orders.push_back({order_change::kind::remove, order,
-                                     std::string(jobs::name(end))});
+    change_of(job).orders.push_back(
+        {order_change::kind::remove, order, std::string(jobs::name(end))});
     auto* const task = find_task(job, order.run.task);
     if (task == nullptr)
         return;
@@ -246,8 +245,7 @@
         member.is_done = true;
 }
 
-void scheduler_core::record_failure(open_job& job,
-                                    jobs::run_order const& order,
+void scheduler_core::record_failure(open_job& job, jobs::run_order const& order,
                                     core::time_point now)
 {
     auto const& id = order.run.task;
@@ -262,8 +260,8 @@
         // Several members of one run may fail; that is one failed attempt.
         auto& tasks = job.progress.occurrences[id.occurrence]
                           .steps[static_cast<std::size_t>(id.step)];
-        auto& counted = job.progress.occurrences[id.occurrence]
-                            .failed_gang_runs[id.step];
+        auto& counted =
+            job.progress.occurrences[id.occurrence].failed_gang_runs[id.step];
         if (!counted.insert(order.run.run).second)
             return;
         for (auto& member : tasks)
@@ -351,8 +349,7 @@
 {
     auto const& spec = job.submission.spec;
     for (std::int64_t number = 0; number < spec.occurrences(); ++number) {
-        auto const due =
-            spec.first_due_ms + number * spec.interval.count();
+        auto const due = spec.first_due_ms + number * spec.interval.count();
         if (spec.is_repeated() && wall_ms < due)
             return;
         if (job.progress.finished_occurrences.contains(number))
@@ -428,8 +425,7 @@
             auto const& view = worker->second;
             if (view.report.worker.state != jobs::worker_state::draining)
                 continue;
-            auto const leaves_at =
-                view.heard_at + view.report.worker.remaining;
+            auto const leaves_at = view.heard_at + view.report.worker.remaining;
             if (now + estimate_remaining(job, run, now) > leaves_at)
                 stop_step(job, task, "worker leaves before the end");
         }
@@ -443,9 +439,11 @@
         return;
     auto const running = collect_running(jobs_, now);
     std::vector<placement::waiting_group> waiting_groups;
+    waiting_groups.reserve(waiting.size());
     for (auto const& entry : waiting)
         waiting_groups.push_back(entry.group);
     std::vector<placement::running_group> running_groups;
+    running_groups.reserve(running.size());
     for (auto const& entry : running)
         running_groups.push_back(entry.group);
     auto const result = placement::run_round(
@@ -463,9 +461,8 @@
             }
         }
         for (std::size_t index = 0; index < placed.agents.size(); ++index) {
-            auto const run = is_gang
-                                 ? gang_run
-                                 : find_task(job, tasks[index])->last_run + 1;
+            auto const run =
+                is_gang ? gang_run : find_task(job, tasks[index])->last_run + 1;
             start(tasks[index], placed.agents[index], run, now);
         }
     }
--- /dev/null
+++ b/tests/agents/agent_service_test.cpp
@@ -0,0 +1,224 @@
+#include "agents/agent_service.hpp"
+
+#include "jobs/row_codec.hpp"
+#include "rows/row_layout.hpp"
+#include "support/memory_row_store.hpp"
+
+#include <gtest/gtest.h>
+
+namespace sequoiaroute::agents {
+namespace {
+
+using namespace std::chrono_literals;
+using support::memory_row_store;
+
+/// An executor that runs what it is told to until the test ends it.
+class fake_executor final : public executor_runtime
+{
+public:
+    explicit fake_executor(support::manual_timers& timers) : timers_(timers) {}
+
+    void start(jobs::run_order const& order, std::int64_t lease_until_ms,
+               std::function<void(order_reply)> done) override
+    {
+        running[order.run] = order;
+        lease_end_ms = lease_until_ms;
+        reply(std::move(done));
+    }
+
+    void stop(jobs::run_order const& order,
+              std::function<void(order_reply)> done) override
+    {
+        if (running.contains(order.run))
+            end(order.run, jobs::run_end::stopped);
+        reply(std::move(done));
+    }
+
+    void hold(std::int64_t acknowledged,
+              std::optional<std::int64_t> lease_until_ms, core::duration,
+              std::function<void(executor_lists)> done) override
+    {
+        highest_acknowledged = std::max(highest_acknowledged, acknowledged);
+        if (lease_until_ms)
+            lease_end_ms = std::max(lease_end_ms, *lease_until_ms);
+        std::erase_if(ended, [&](auto const& item) {
+            return item.number <= acknowledged;
+        });
+        executor_lists lists;
+        lists.is_ok = true;
+        lists.born_ms = 1;
+        lists.clock_ms = clock_ms();
+        lists.ended = ended;
+        for (auto const& [run, order] : running)
+            lists.running.push_back({run, "", 50});
+        pending_.push_back(timers_.after(
+            5ms, [done = std::move(done), lists] { done(lists); }));
+    }
+
+    void end(jobs::run_id const& run, jobs::run_end how)
+    {
+        running.erase(run);
+        ended.push_back({++last_number_, {run, how, ""}});
+    }
+
+    std::int64_t clock_ms() const
+    {
+        return timers_.now().time_since_epoch().count();
+    }
+
+    std::map<jobs::run_id, jobs::run_order> running;
+    std::vector<listed_end> ended;
+    std::int64_t lease_end_ms = 0;
+    std::int64_t highest_acknowledged = 0;
+
+private:
+    void reply(std::function<void(order_reply)> done)
+    {
+        pending_.push_back(
+            timers_.after(1ms, [done = std::move(done), clock = clock_ms()] {
+                done({order_outcome::done, clock, ""});
+            }));
+    }
+
+    support::manual_timers& timers_;
+    std::int64_t last_number_ = 0;
+    std::vector<std::unique_ptr<event::timer>> pending_;
+};
+
+class agent_service_test : public testing::Test
+{
+public:
+    agent_service_test() : store(timers), executor(timers)
+    {
+        agent.emplace(store, timers, executor,
+                      agent_service::options{"a", 6s, 10s});
+    }
+
+    void begin()
+    {
+        agent->start();
+        heartbeat(jobs::worker_state::ready);
+        timers.advance(200ms);
+    }
+
+    void heartbeat(jobs::worker_state state)
+    {
+        jobs::worker_description worker;
+        worker.executor = {"i-1", 1};
+        worker.service = "s";
+        worker.state = state;
+        agent->receive_heartbeat(worker, ++sequence);
+    }
+
+    jobs::run_order make_order(std::int32_t index) const
+    {
+        return {"a", {"i-1", 1}, {{"j", 0, 0, index}, 1}, "p", "", false};
+    }
+
+    void put_order(jobs::run_order const& order)
+    {
+        store.put(rows::layout::order_row("a", to_text(order.run)),
+                  jobs::encode(order));
+    }
+
+    jobs::worker_report report() const
+    {
+        auto const row = store.find(rows::layout::report_row("a"));
+        return core::value(jobs::decode_report(row->value));
+    }
+
+    support::manual_timers timers;
+    memory_row_store store;
+    fake_executor executor;
+    std::optional<agent_service> agent;
+    std::int64_t sequence = 0;
+};
+
+TEST_F(agent_service_test, carries_out_an_order_and_reports_its_end)
+{
+    begin();
+    auto const order = make_order(0);
+    put_order(order);
+    timers.advance(100ms);
+    ASSERT_TRUE(executor.running.contains(order.run));
+    executor.end(order.run, jobs::run_end::done);
+    timers.advance(200ms);
+    ASSERT_EQ(report().ended.size(), 1U);
+    EXPECT_EQ(executor.highest_acknowledged, 1);
+}
+
+// Guards against an end that the executor forgets before it is durable.
+TEST_F(agent_service_test, acknowledges_an_end_only_once_it_is_stored)
+{
+    begin();
+    auto const order = make_order(0);
+    put_order(order);
+    timers.advance(100ms);
+    store.next_commits = memory_row_store::fault::silent;
+    executor.end(order.run, jobs::run_end::done);
+    timers.advance(3s);
+    EXPECT_EQ(executor.highest_acknowledged, 0);
+    store.next_commits = memory_row_store::fault::none;
+    timers.advance(2s);
+    EXPECT_EQ(executor.highest_acknowledged, 1);
+}
+
+// Guards against work that is thrown away in an outage of the store, and
+// against leases that outlive what the decider waits for.
+TEST_F(agent_service_test, extends_leases_for_a_while_without_the_store)
+{
+    begin();
+    put_order(make_order(0));
+    timers.advance(100ms);
+    store.next_commits = memory_row_store::fault::refused;
+    store.reads = memory_row_store::fault::refused;
+    timers.advance(9s);
+    EXPECT_GT(executor.lease_end_ms, executor.clock_ms() + 4000);
+    timers.advance(4s);
+    auto const end = executor.lease_end_ms;
+    timers.advance(4s);
+    EXPECT_EQ(executor.lease_end_ms, end);
+}
+
+// Guards against an agent that forgets what it had reported when it restarts.
+TEST_F(agent_service_test, a_restarted_agent_reports_the_ends_again)
+{
+    begin();
+    auto const order = make_order(0);
+    put_order(order);
+    timers.advance(100ms);
+    executor.end(order.run, jobs::run_end::done);
+    timers.advance(200ms);
+    ASSERT_TRUE(executor.ended.empty());
+    agent.emplace(store, timers, executor,
+                  agent_service::options{"a", 6s, 10s});
+    agent->start();
+    timers.advance(3s);
+    ASSERT_EQ(report().ended.size(), 1U);
+    EXPECT_EQ(report().ended[0].end, jobs::run_end::done);
+    EXPECT_TRUE(executor.running.empty());
+}
+
+// Guards against an older message that brings a leaving executor back.
+TEST_F(agent_service_test, ignores_messages_that_arrive_late)
+{
+    begin();
+    sequence = 10;
+    heartbeat(jobs::worker_state::draining);
+    sequence = 5;
+    heartbeat(jobs::worker_state::ready);
+    timers.advance(100ms);
+    EXPECT_EQ(report().worker.state, jobs::worker_state::draining);
+}
+
+TEST_F(agent_service_test, stops_runs_that_nobody_ordered)
+{
+    jobs::run_id const stray{{"old", 0, 0, 0}, 4};
+    executor.running[stray] = {};
+    begin();
+    timers.advance(200ms);
+    EXPECT_FALSE(executor.running.contains(stray));
+}
+
+} // namespace
+} // namespace sequoiaroute::agents
--- /dev/null
+++ b/tests/agents/run_book_test.cpp
@@ -0,0 +1,162 @@
+#include "agents/run_book.hpp"
+
+#include <gtest/gtest.h>
+
+namespace sequoiaroute::agents {
+namespace {
+
+using namespace std::chrono_literals;
+
+class run_book_test : public testing::Test
+{
+public:
+    run_book_test()
+    {
+        worker.executor = {"i-1", 1};
+        worker.state = jobs::worker_state::ready;
+        book.set_executor(worker);
+        order.executor = worker.executor;
+        order.run = {{"j", 0, 0, 0}, 1};
+    }
+
+    executor_lists lists() const
+    {
+        executor_lists result;
+        result.is_ok = true;
+        result.born_ms = worker.executor.born_ms;
+        return result;
+    }
+
+    executor_lists lists_with_end(jobs::run_end end) const
+    {
+        auto result = lists();
+        result.ended = {{1, {order.run, end, ""}}};
+        return result;
+    }
+
+    /// @return the only action; fails the test if there is not exactly one
+    run_book::action next()
+    {
+        auto const actions = book.next_actions(now);
+        EXPECT_EQ(actions.size(), 1U);
+        return actions.empty() ? run_book::action{} : actions[0];
+    }
+
+    void answer(run_book::action const& sent, order_outcome outcome)
+    {
+        book.receive_answer(sent, {outcome, std::nullopt, ""}, now);
+    }
+
+    core::time_point now{1000s};
+    jobs::worker_description worker;
+    jobs::run_order order;
+    run_book book;
+};
+
+TEST_F(run_book_test, starts_a_run_and_reports_its_end)
+{
+    book.put(order, false);
+    answer(next(), order_outcome::done);
+    EXPECT_TRUE(book.next_actions(now).empty());
+    book.receive(lists_with_end(jobs::run_end::done), now + 1s);
+    ASSERT_EQ(book.ended().size(), 1U);
+    EXPECT_EQ(book.ended()[0].end, jobs::run_end::done);
+    book.remove(order.run);
+    EXPECT_TRUE(book.ended().empty());
+}
+
+// Guards against a task that runs twice after its agent was restarted: the
+// executor refuses the repeated start of a run that has ended.
+TEST_F(run_book_test, reads_the_lists_before_a_start_is_repeated)
+{
+    book.put(order, true);
+    EXPECT_TRUE(book.next_actions(now).empty());
+    EXPECT_TRUE(book.needs_lists());
+    book.receive(lists_with_end(jobs::run_end::done), now);
+    ASSERT_EQ(book.ended().size(), 1U);
+    EXPECT_EQ(book.ended()[0].end, jobs::run_end::done);
+}
+
+// Guards against a refusal that hides an end which is listed.
+TEST_F(run_book_test, reports_a_refusal_only_after_the_lists)
+{
+    book.put(order, false);
+    answer(next(), order_outcome::refused);
+    auto const stop = next();
+    EXPECT_EQ(stop.what, run_book::action::kind::stop);
+    answer(stop, order_outcome::done);
+    EXPECT_TRUE(book.ended().empty());
+    book.receive(lists_with_end(jobs::run_end::done), now + 10ms);
+    ASSERT_EQ(book.ended().size(), 1U);
+    EXPECT_EQ(book.ended()[0].end, jobs::run_end::done);
+}
+
+TEST_F(run_book_test, repeats_a_start_without_an_answer)
+{
+    book.put(order, false);
+    answer(next(), order_outcome::unknown);
+    now += 50ms;
+    EXPECT_EQ(next().what, run_book::action::kind::start);
+}
+
+// Guards against a run that is taken for stopped and then carried out late.
+TEST_F(run_book_test, stops_a_run_whose_start_had_no_answer)
+{
+    book.put(order, false);
+    answer(next(), order_outcome::unknown);
+    order.is_to_stop = true;
+    book.put(order, false);
+    now += 50ms;
+    auto const stop = next();
+    EXPECT_EQ(stop.what, run_book::action::kind::stop);
+    book.receive(lists(), now);
+    EXPECT_TRUE(book.ended().empty());
+    answer(stop, order_outcome::done);
+    book.receive(lists(), now - 1ms);
+    EXPECT_TRUE(book.ended().empty());
+    book.receive(lists(), now + 1ms);
+    ASSERT_EQ(book.ended().size(), 1U);
+    EXPECT_EQ(book.ended()[0].end, jobs::run_end::stopped);
+}
+
+TEST_F(run_book_test, needs_no_call_to_stop_what_was_never_started)
+{
+    order.is_to_stop = true;
+    book.put(order, false);
+    EXPECT_TRUE(book.next_actions(now).empty());
+    EXPECT_EQ(book.ended().at(0).end, jobs::run_end::stopped);
+}
+
+// Guards against new work on an executor that leaves.
+TEST_F(run_book_test, starts_nothing_on_a_draining_executor)
+{
+    worker.state = jobs::worker_state::draining;
+    book.set_executor(worker);
+    book.put(order, false);
+    EXPECT_TRUE(book.next_actions(now).empty());
+    EXPECT_EQ(book.ended().at(0).end, jobs::run_end::refused);
+}
+
+TEST_F(run_book_test, takes_runs_of_an_earlier_life_for_lost)
+{
+    book.put(order, false);
+    answer(next(), order_outcome::done);
+    worker.executor.born_ms = 2;
+    book.set_executor(worker);
+    EXPECT_TRUE(book.next_actions(now).empty());
+    EXPECT_EQ(book.ended().at(0).end, jobs::run_end::lost);
+}
+
+TEST_F(run_book_test, names_runs_that_nobody_ordered)
+{
+    auto shown = lists();
+    shown.running = {{order.run, "", 10}};
+    book.receive(shown, now);
+    EXPECT_EQ(book.unordered().size(), 1U);
+    book.put(order, true);
+    book.receive(shown, now);
+    EXPECT_TRUE(book.unordered().empty());
+}
+
+} // namespace
+} // namespace sequoiaroute::agents
--- /dev/null
+++ b/tests/placement/placement_round_test.cpp
@@ -0,0 +1,171 @@
+#include "placement/placement_round.hpp"
+#include "placement/worker_health.hpp"
+
+#include <gtest/gtest.h>
+
+#include <limits>
+
+namespace sequoiaroute::placement {
+namespace {
+
+using namespace std::chrono_literals;
+
+constexpr jobs::resources whole{128'000, 512'000, 8};
+
+worker make_worker(std::string agent, std::string rack, std::int64_t free)
+{
+    worker result;
+    result.agent = std::move(agent);
+    result.service = "s";
+    result.rack = std::move(rack);
+    result.labels = {"a", result.rack};
+    result.capacity = whole;
+    result.free = {128'000, 512'000, free};
+    result.free_soon = result.free;
+    return result;
+}
+
+waiting_group make_group(std::size_t count, std::int64_t accelerators)
+{
+    waiting_group group;
+    group.service = "s";
+    group.count = count;
+    group.task = {1000, 1000, accelerators};
+    group.priority = 1;
+    return group;
+}
+
+using agents = std::vector<std::string>;
+
+// Guards against small tasks that break up workers which large ones need.
+TEST(placement_round, fills_the_tightest_worker_first)
+{
+    std::vector<worker> const workers{make_worker("empty", "r1", 8),
+                                      make_worker("used", "r1", 2)};
+    EXPECT_EQ(fit_group(workers, make_group(2, 1), &worker::free),
+              (agents{"used", "used"}));
+}
+
+TEST(placement_round, places_a_gang_whole_or_not_at_all)
+{
+    std::vector<worker> const workers{make_worker("a", "r1", 8),
+                                      make_worker("b", "r1", 4)};
+    auto gang = make_group(2, 8);
+    gang.is_gang = true;
+    EXPECT_TRUE(fit_group(workers, gang, &worker::free).empty());
+    gang.is_gang = false;
+    EXPECT_EQ(fit_group(workers, gang, &worker::free), (agents{"a"}));
+}
+
+// Guards against a gang that runs three times as long because its members are
+// on several racks.
+TEST(placement_round, keeps_a_rack_local_gang_on_one_rack)
+{
+    std::vector<worker> const workers{make_worker("a", "r1", 4),
+                                      make_worker("b", "r2", 4),
+                                      make_worker("c", "r2", 8)};
+    auto gang = make_group(2, 4);
+    gang.is_gang = true;
+    gang.is_rack_local = true;
+    EXPECT_EQ(fit_group(workers, gang, &worker::free), (agents{"b", "c"}));
+}
+
+TEST(placement_round, obeys_label_rack_and_most_per_worker)
+{
+    std::vector<worker> workers{make_worker("a", "r1", 8),
+                                make_worker("b", "r2", 8)};
+    auto group = make_group(3, 1);
+    group.data_rack = "r2";
+    EXPECT_EQ(fit_group(workers, group, &worker::free),
+              (agents{"b", "b", "b"}));
+    group.max_per_worker = 2;
+    group.running_on["b"] = 1;
+    EXPECT_EQ(fit_group(workers, group, &worker::free), (agents{"b"}));
+    group.data_rack.clear();
+    group.required_label = "none";
+    EXPECT_TRUE(fit_group(workers, group, &worker::free).empty());
+}
+
+/// Two workers full of patient gangs, one of which has saved its work.
+struct full_fleet
+{
+    std::vector<worker> workers{make_worker("a", "r1", 0),
+                                make_worker("b", "r1", 0)};
+    std::vector<running_group> running{
+        {{{"a", {1000, 1000, 8}}}, 1, 900},
+        {{{"b", {1000, 1000, 8}}}, 2, 50},
+    };
+};
+
+// Load: an urgent gang that a guarantee covers meets a fleet that is full.
+TEST(placement_round, takes_room_back_at_the_least_loss)
+{
+    full_fleet const fleet;
+    auto urgent = make_group(1, 8);
+    urgent.priority = 0;
+    urgent.is_guaranteed = true;
+    urgent.preemption_budget = std::numeric_limits<double>::max();
+    std::vector<waiting_group> const waiting{urgent};
+    auto const result = run_round(fleet.workers, waiting, fleet.running);
+    EXPECT_TRUE(result.placed.empty());
+    EXPECT_EQ(result.stopped, (std::vector<std::size_t>{1}));
+}
+
+// Load: the room that is taken back becomes free in parts, while small patient
+// tasks wait for any room. Guards against losing the room to them.
+TEST(placement_round, keeps_the_room_that_is_taken_back)
+{
+    full_fleet fleet;
+    fleet.workers[1].free.accelerators = 4;
+    fleet.workers[1].free_soon.accelerators = 8;
+    auto urgent = make_group(1, 8);
+    urgent.priority = 0;
+    std::vector<waiting_group> const waiting{urgent, make_group(4, 1)};
+    auto const result = run_round(fleet.workers, waiting, {});
+    EXPECT_TRUE(result.placed.empty());
+}
+
+// Guards against an urgent job without a guarantee that costs more than it is
+// worth.
+TEST(placement_round, does_not_exceed_the_budget)
+{
+    full_fleet const fleet;
+    auto urgent = make_group(1, 8);
+    urgent.priority = 0;
+    urgent.preemption_budget = 10;
+    std::vector<waiting_group> const waiting{urgent};
+    EXPECT_TRUE(
+        run_round(fleet.workers, waiting, fleet.running).stopped.empty());
+}
+
+// Load: a large gang waits while small tasks arrive without end.
+TEST(placement_round, keeps_room_for_a_gang_that_waits_long)
+{
+    std::vector<worker> const workers{make_worker("a", "r1", 6),
+                                      make_worker("b", "r1", 1)};
+    auto gang = make_group(1, 8);
+    gang.is_gang = true;
+    gang.keeps_room = true;
+    std::vector<waiting_group> const waiting{gang, make_group(3, 1)};
+    auto const result = run_round(workers, waiting, {});
+    ASSERT_EQ(result.placed.size(), 1U);
+    EXPECT_EQ(result.placed[0].agents, (agents{"b"}));
+}
+
+TEST(worker_health, avoids_a_worker_that_fails_several_jobs)
+{
+    worker_health health;
+    core::time_point const start{1000s};
+    health.record_failure("a", "job-1", start);
+    health.record_failure("a", "job-1", start);
+    EXPECT_FALSE(health.is_avoided("a", start));
+    EXPECT_GT(health.penalty("a", start), 0);
+    health.record_failure("a", "job-2", start);
+    EXPECT_TRUE(health.is_avoided("a", start));
+    EXPECT_FALSE(health.is_avoided("a", start + 1min));
+    health.record_success("a");
+    EXPECT_FALSE(health.is_avoided("a", start));
+}
+
+} // namespace
+} // namespace sequoiaroute::placement
--- /dev/null
+++ b/tests/scheduler/decider_service_test.cpp
@@ -0,0 +1,168 @@
+#include "scheduler/decider_service.hpp"
+
+#include "jobs/row_codec.hpp"
+#include "rows/row_layout.hpp"
+#include "support/memory_row_store.hpp"
+
+#include <gtest/gtest.h>
+
+namespace sequoiaroute::scheduler {
+namespace {
+
+using namespace std::chrono_literals;
+using support::memory_row_store;
+
+/// An entry as far as the decider is concerned.
+class entry
+{
+public:
+    entry(memory_row_store& store, support::manual_timers& timers,
+          std::string name)
+        : work_(store, timers,
+                {std::string(rows::layout::work_table), 500ms, 0ms, {}},
+                [this](rows::row const& changed) { decider.observe(changed); }),
+          decider(store, timers, work_,
+                  [] { return std::make_shared<jobs::rules const>(); },
+                  {std::move(name), {}})
+    {
+        work_.start();
+        decider.start();
+    }
+
+private:
+    rows::table_replica work_;
+
+public:
+    decider_service decider;
+};
+
+class decider_service_test : public testing::Test
+{
+public:
+    decider_service_test() : store(timers) {}
+
+    void add_worker(std::string const& agent)
+    {
+        jobs::worker_report report;
+        report.agent = agent;
+        report.worker = {{"i-" + agent, 1},
+                         "s",
+                         "z",
+                         "r1",
+                         jobs::worker_state::ready,
+                         0ms,
+                         {128'000, 512'000, 8},
+                         {"a", "r1"}};
+        store.put(rows::layout::report_row(agent), jobs::encode(report));
+    }
+
+    void add_job(std::string const& id)
+    {
+        jobs::submission job;
+        job.job_id = id;
+        job.terms = {"q", "s", 1, 2, 3, 1s};
+        job.spec.steps.resize(1);
+        job.spec.steps[0].task = {1000, 1000, 1};
+        store.put(rows::layout::job_row(id), jobs::encode(job));
+    }
+
+    std::optional<rows::row> order(std::string const& id,
+                                   std::int64_t run = 1) const
+    {
+        return store.find(rows::layout::order_row(
+            "a", to_text(jobs::run_id{{id, 0, 0, 0}, run})));
+    }
+
+    support::manual_timers timers;
+    memory_row_store store;
+};
+
+TEST_F(decider_service_test, one_entry_becomes_decider_and_places_jobs)
+{
+    entry first(store, timers, "one");
+    entry second(store, timers, "two");
+    add_worker("a");
+    timers.advance(1s);
+    EXPECT_NE(first.decider.is_decider(), second.decider.is_decider());
+    add_job("j");
+    timers.advance(100ms);
+    EXPECT_TRUE(order("j"));
+}
+
+// Guards against a decider that goes on after another has taken over.
+TEST_F(decider_service_test, another_entry_takes_over_a_silent_decider)
+{
+    entry first(store, timers, "one");
+    timers.advance(1s);
+    ASSERT_TRUE(first.decider.is_decider());
+    entry second(store, timers, "two");
+    timers.advance(1s);
+    EXPECT_FALSE(second.decider.is_decider());
+    first.decider.stop();
+    timers.advance(500ms);
+    EXPECT_TRUE(second.decider.is_decider());
+    add_worker("a");
+    add_job("j");
+    timers.advance(200ms);
+    EXPECT_TRUE(order("j"));
+}
+
+// Guards against orders that are given twice, or lost, with an answer of the
+// store.
+TEST_F(decider_service_test, goes_on_after_a_lost_answer)
+{
+    entry first(store, timers, "one");
+    add_worker("a");
+    timers.advance(1s);
+    store.next_commits = memory_row_store::fault::answer_lost;
+    add_job("j");
+    timers.advance(1500ms);
+    store.next_commits = memory_row_store::fault::none;
+    timers.advance(2s);
+    EXPECT_TRUE(first.decider.is_decider());
+    EXPECT_TRUE(order("j"));
+    EXPECT_FALSE(order("j", 2));
+    add_worker("a");
+    add_job("k");
+    timers.advance(200ms);
+    EXPECT_TRUE(order("k"));
+}
+
+// Guards against a write of the last decider that takes effect after another
+// has taken over.
+TEST_F(decider_service_test, late_writes_of_the_last_decider_have_no_effect)
+{
+    auto first = std::make_unique<entry>(store, timers, "one");
+    add_worker("a");
+    timers.advance(1s);
+    store.next_commits = memory_row_store::fault::silent;
+    add_job("j");
+    timers.advance(100ms);
+    first.reset();
+    store.next_commits = memory_row_store::fault::none;
+    entry second(store, timers, "two");
+    timers.advance(4s);
+    ASSERT_TRUE(second.decider.is_decider());
+    EXPECT_EQ(store.carry_out_silent_commits(), 0U);
+    EXPECT_TRUE(order("j"));
+}
+
+// Guards against a run that is ordered again because the new decider does not
+// know the order that stands.
+TEST_F(decider_service_test, a_new_decider_keeps_the_orders_that_stand)
+{
+    auto first = std::make_unique<entry>(store, timers, "one");
+    add_worker("a");
+    add_job("j");
+    timers.advance(1s);
+    ASSERT_TRUE(order("j"));
+    first.reset();
+    entry second(store, timers, "two");
+    timers.advance(4s);
+    ASSERT_TRUE(second.decider.is_decider());
+    EXPECT_TRUE(order("j"));
+    EXPECT_FALSE(order("j", 2));
+}
+
+} // namespace
+} // namespace sequoiaroute::scheduler
--- /dev/null
+++ b/tests/scheduler/scheduler_core_test.cpp
@@ -0,0 +1,333 @@
+#include "scheduler/scheduler_core.hpp"
+
+#include <gtest/gtest.h>
+
+namespace sequoiaroute::scheduler {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// A core with workers of eight accelerators, driven step by step.
+class scheduler_core_test : public testing::Test
+{
+protected:
+    scheduler_core_test() : core_(scheduler_limits{}) {}
+
+    void add_worker(std::string const& agent, std::int64_t born = 1)
+    {
+        jobs::worker_report report;
+        report.agent = agent;
+        report.worker = {{"i-" + agent, born},
+                         "s",
+                         "z",
+                         "r1",
+                         jobs::worker_state::ready,
+                         0ms,
+                         {128'000, 512'000, 8},
+                         {"a", "r1"}};
+        reports_[agent] = report;
+        core_.receive(report, now_);
+    }
+
+    void add_job(std::string const& id, std::int32_t tasks,
+                 std::int64_t accelerators, bool is_gang = false,
+                 std::int32_t priority = 1)
+    {
+        core_.add_submission(
+            make_job(id, tasks, accelerators, is_gang, priority), now_);
+    }
+
+    static jobs::submission make_job(std::string const& id, std::int32_t tasks,
+                                     std::int64_t accelerators,
+                                     bool is_gang = false,
+                                     std::int32_t priority = 1)
+    {
+        jobs::submission job;
+        job.job_id = id;
+        job.customer = "press";
+        job.terms = {"q", "s", priority, 2, 3, 1s};
+        jobs::step_spec step;
+        step.task_count = tasks;
+        step.task = {1000, 1000, accelerators};
+        step.estimate = 10s;
+        step.is_gang = is_gang;
+        job.spec.steps = {step};
+        return job;
+    }
+
+    std::vector<job_change> decide()
+    {
+        return core_.decide({now_, wall_ms_, now_});
+    }
+
+    /// @return the orders of one kind among the changes
+    static std::vector<jobs::run_order>
+    orders(std::vector<job_change> const& changes, order_change::kind kind)
+    {
+        std::vector<jobs::run_order> found;
+        for (auto const& change : changes) {
+            for (auto const& order : change.orders) {
+                if (order.what == kind)
+                    found.push_back(order.order);
+            }
+        }
+        return found;
+    }
+
+    std::vector<jobs::run_order> decide_starts()
+    {
+        return orders(decide(), order_change::kind::start);
+    }
+
+    void report_end(jobs::run_order const& order, jobs::run_end end,
+                    std::string checkpoint = {})
+    {
+        auto report = reports_.at(order.agent);
+        report.ended = {{order.run, end, std::move(checkpoint)}};
+        core_.receive(report, now_);
+    }
+
+    void report_running(jobs::run_order const& order, std::int32_t percent)
+    {
+        auto report = reports_.at(order.agent);
+        report.running = {{order.run, "", percent}};
+        core_.receive(report, now_);
+    }
+
+    jobs::job_state state(std::string const& id) const
+    {
+        return core_.jobs().at(id).progress.state;
+    }
+
+    core::time_point now_{1000s};
+    std::int64_t wall_ms_ = 5'000'000;
+    std::map<std::string, jobs::worker_report> reports_;
+    scheduler_core core_;
+};
+
+constexpr auto starts = order_change::kind::start;
+constexpr auto stops = order_change::kind::stop;
+
+TEST_F(scheduler_core_test, completes_a_job_when_all_its_tasks_are_done)
+{
+    add_worker("a");
+    add_job("j", 2, 1);
+    auto const started = decide_starts();
+    ASSERT_EQ(started.size(), 2U);
+    report_end(started[0], jobs::run_end::done);
+    decide();
+    EXPECT_EQ(state("j"), jobs::job_state::running);
+    report_end(started[1], jobs::run_end::done);
+    decide();
+    EXPECT_EQ(state("j"), jobs::job_state::completed);
+}
+
+// Guards against a worker that is given more than it has.
+TEST_F(scheduler_core_test, counts_a_stopped_run_until_its_end_is_reported)
+{
+    add_worker("a");
+    add_job("patient", 1, 8);
+    auto const first = decide_starts();
+    add_job("next", 1, 8);
+    core_.cancel("patient");
+    auto const changes = decide();
+    EXPECT_EQ(orders(changes, stops).size(), 1U);
+    EXPECT_TRUE(orders(changes, starts).empty());
+    EXPECT_TRUE(decide_starts().empty());
+    report_end(first[0], jobs::run_end::stopped);
+    EXPECT_EQ(decide_starts().size(), 1U);
+}
+
+// Guards against a second run while the first may still be at work.
+TEST_F(scheduler_core_test, waits_for_every_lease_of_a_silent_worker)
+{
+    add_worker("a");
+    add_worker("b");
+    add_job("j", 1, 8);
+    auto const first = decide_starts();
+    ASSERT_EQ(first.size(), 1U);
+    now_ += 17s;
+    core_.receive(reports_.at(first[0].agent == "a" ? "b" : "a"), now_);
+    EXPECT_TRUE(decide_starts().empty());
+    now_ += 2s;
+    core_.receive(reports_.at(first[0].agent == "a" ? "b" : "a"), now_);
+    auto const second = decide_starts();
+    ASSERT_EQ(second.size(), 1U);
+    EXPECT_NE(second[0].agent, first[0].agent);
+    EXPECT_EQ(second[0].run.run, 2);
+}
+
+// Guards against counting the time in which the decider heard nobody.
+TEST_F(scheduler_core_test, takes_nobody_for_lost_while_reports_are_unknown)
+{
+    add_worker("a");
+    add_job("j", 1, 8);
+    decide();
+    auto const confirmed = now_;
+    now_ += 60s;
+    core_.decide({now_, wall_ms_, confirmed});
+    EXPECT_EQ(core_.jobs().at("j").assignments.size(), 1U);
+}
+
+TEST_F(scheduler_core_test, runs_again_what_ended_with_its_executor)
+{
+    add_worker("a");
+    add_job("j", 1, 1);
+    decide();
+    add_worker("a", 2);
+    auto const again = decide_starts();
+    ASSERT_EQ(again.size(), 1U);
+    EXPECT_EQ(again[0].executor.born_ms, 2);
+}
+
+// Guards against a finished gang that runs again because one member was late.
+TEST_F(scheduler_core_test, takes_one_done_member_for_the_gang)
+{
+    add_worker("a");
+    add_worker("b");
+    add_job("g", 2, 8, true);
+    auto const started = decide_starts();
+    ASSERT_EQ(started.size(), 2U);
+    EXPECT_EQ(started[0].run.run, started[1].run.run);
+    report_end(started[0], jobs::run_end::done);
+    decide();
+    EXPECT_EQ(state("g"), jobs::job_state::completed);
+    report_end(started[1], jobs::run_end::broken);
+    EXPECT_TRUE(decide_starts().empty());
+}
+
+// Guards against a gang that fails after half of its attempts.
+TEST_F(scheduler_core_test, counts_the_failures_of_one_gang_run_once)
+{
+    add_worker("a");
+    add_worker("b");
+    add_job("g", 2, 8, true);
+    auto const started = decide_starts();
+    report_end(started[0], jobs::run_end::failed);
+    report_end(started[1], jobs::run_end::failed);
+    decide();
+    EXPECT_NE(state("g"), jobs::job_state::failed);
+}
+
+TEST_F(scheduler_core_test, fails_a_job_after_its_last_attempt)
+{
+    add_worker("a");
+    add_worker("b");
+    add_job("j", 1, 1);
+    report_end(decide_starts().at(0), jobs::run_end::failed);
+    report_end(decide_starts().at(0), jobs::run_end::failed);
+    EXPECT_TRUE(decide_starts().empty());
+    EXPECT_EQ(state("j"), jobs::job_state::failed);
+}
+
+// Guards against a run that starts from nothing although work was saved.
+TEST_F(scheduler_core_test, hands_the_checkpoint_to_the_next_run)
+{
+    add_worker("a");
+    add_job("j", 1, 1);
+    report_end(decide_starts().at(0), jobs::run_end::stopped, "cp1");
+    EXPECT_EQ(decide_starts().at(0).checkpoint, "cp1");
+}
+
+// Guards against a step that begins before the one that it needs.
+TEST_F(scheduler_core_test, begins_a_step_when_its_predecessors_are_done)
+{
+    add_worker("a");
+    auto job = make_job("j", 2, 1);
+    job.spec.steps.push_back(job.spec.steps[0]);
+    job.spec.steps[1].after = {0};
+    core_.add_submission(job, now_);
+    auto const first = decide_starts();
+    ASSERT_EQ(first.size(), 2U);
+    report_end(first[0], jobs::run_end::done);
+    EXPECT_TRUE(decide_starts().empty());
+    report_end(first[1], jobs::run_end::done);
+    EXPECT_EQ(decide_starts().size(), 2U);
+}
+
+TEST_F(scheduler_core_test, begins_occurrences_at_their_times)
+{
+    add_worker("a");
+    auto job = make_job("j", 1, 1);
+    job.spec.repeats = 2;
+    job.spec.first_due_ms = wall_ms_ + 1000;
+    job.spec.interval = 2s;
+    core_.add_submission(job, now_);
+    EXPECT_TRUE(decide_starts().empty());
+    wall_ms_ += 1000;
+    auto const first = decide_starts();
+    ASSERT_EQ(first.size(), 1U);
+    wall_ms_ += 2000;
+    auto const second = decide_starts();
+    ASSERT_EQ(second.size(), 1U);
+    EXPECT_EQ(second[0].run.task.occurrence, 1);
+    report_end(first[0], jobs::run_end::done);
+    report_end(second[0], jobs::run_end::done);
+    decide();
+    EXPECT_EQ(state("j"), jobs::job_state::completed);
+}
+
+// Load: a guaranteed urgent gang arrives on workers full of patient work.
+TEST_F(scheduler_core_test, takes_guaranteed_room_back_and_uses_it)
+{
+    jobs::rules rules;
+    rules.guaranteed_accelerators["press"] = 8;
+    core_.set_rules(std::make_shared<jobs::rules const>(rules));
+    add_worker("a");
+    add_job("patient", 1, 8);
+    auto const patient = decide_starts();
+    report_running(patient[0], 10);
+    add_job("urgent", 1, 8, true, 0);
+    EXPECT_EQ(orders(decide(), stops).size(), 1U);
+    report_end(patient[0], jobs::run_end::stopped);
+    auto const started = decide_starts();
+    ASSERT_EQ(started.size(), 1U);
+    EXPECT_EQ(started[0].run.task.job_id, "urgent");
+}
+
+TEST_F(scheduler_core_test, moves_work_off_a_worker_that_leaves)
+{
+    add_worker("a");
+    add_job("j", 1, 1);
+    auto const first = decide_starts();
+    report_running(first[0], 10);
+    add_worker("b");
+    auto& leaving = reports_.at("a");
+    leaving.worker.state = jobs::worker_state::draining;
+    leaving.worker.remaining = 2s;
+    core_.receive(leaving, now_);
+    EXPECT_EQ(orders(decide(), stops).size(), 1U);
+    report_end(first[0], jobs::run_end::stopped);
+    EXPECT_EQ(decide_starts().at(0).agent, "b");
+}
+
+// Load: tasks on a worker stand still although it answers.
+TEST_F(scheduler_core_test, moves_a_run_that_stands_still)
+{
+    add_worker("a");
+    add_job("j", 1, 1);
+    auto const first = decide_starts();
+    report_running(first[0], 10);
+    now_ += 2s;
+    report_running(first[0], 10);
+    EXPECT_TRUE(orders(decide(), stops).empty());
+    now_ += 1500ms;
+    report_running(first[0], 10);
+    EXPECT_EQ(orders(decide(), stops).size(), 1U);
+}
+
+TEST_F(scheduler_core_test, removes_a_finished_job_after_its_retention)
+{
+    add_worker("a");
+    add_job("j", 1, 1);
+    report_end(decide_starts().at(0), jobs::run_end::done);
+    decide();
+    now_ += 181s;
+    auto const changes = decide();
+    ASSERT_EQ(changes.size(), 1U);
+    EXPECT_TRUE(changes[0].is_retired);
+    EXPECT_TRUE(core_.jobs().empty());
+}
+
+} // namespace
+} // namespace sequoiaroute::scheduler
