scheduler: Judge workers by the age of their reports, and runs only by reports

Ruled out: waiting for a fresh report of each worker after a takeover, which would cost up to 1.5 s of placing.

--- a/packages/agents/agent_service.cpp
+++ b/packages/agents/agent_service.cpp
@@ -20,10 +20,6 @@
 constexpr core::duration look_period{60};
 /// Connections refused on this machine for so long: the executor has ended.
 constexpr core::duration gone_after{1500};
-/// Slowest clock that an executor may have, as a share of true time.
-constexpr double slowest_clock = 1.02;
-/// An executor that could not be reached runs nothing so long after its lease.
-constexpr core::duration lapse_slack{1500};
 
 } // namespace
 
@@ -59,6 +55,7 @@
                                                     [this] { load_report(); });
                         return;
                     }
+                    note_store_time(page.store_time);
                     if (!page.rows.empty()) {
                         report_version_ = page.rows[0].version;
                         current_report_ = page.rows[0].value;
@@ -199,16 +196,24 @@
     clock_read_at_ = timers_.now();
 }
 
+void agent_service::note_store_time(core::duration store_time)
+{
+    if (store_time == core::duration(0))
+        return;
+    store_time_ = store_time;
+    store_time_read_at_ = timers_.now();
+}
+
 std::int64_t agent_service::lease_end_ms() const
 {
     auto const passed = timers_.now() - clock_read_at_;
-    return clock_ms_ + passed.count() + options_.lease.count();
+    return clock_ms_ + passed.count() + options_.timing.lease.count();
 }
 
 bool agent_service::may_extend_lease() const
 {
     return store_contact_at_ &&
-           timers_.now() - *store_contact_at_ < options_.lease_without_store;
+           timers_.now() - *store_contact_at_ < options_.timing.without_store();
 }
 
 void agent_service::hold()
@@ -297,14 +302,10 @@
     } else if (!refused_since_) {
         refused_since_ = now;
     }
-    auto const longest_lease =
-        core::duration(static_cast<std::int64_t>(
-            static_cast<double>(options_.lease.count()) * slowest_clock)) +
-        lapse_slack;
     bool const has_ended =
         (refused_since_ && now - *refused_since_ > gone_after) ||
         (last_extended_at_ != core::time_point{} &&
-         now - last_extended_at_ > longest_lease && !is_refused &&
+         now - last_extended_at_ > options_.timing.lapse() && !is_refused &&
          !may_extend_lease());
     if (has_ended)
         receive_goodbye(worker_.executor.id);
@@ -325,7 +326,9 @@
 
 jobs::worker_report agent_service::make_report() const
 {
-    return {options_.agent, worker_, book_.running(), book_.ended()};
+    auto const written_at = store_time_ + (timers_.now() - store_time_read_at_);
+    return {options_.agent, written_at, worker_, book_.running(),
+            book_.ended()};
 }
 
 void agent_service::publish_if_due()
@@ -364,6 +367,7 @@
                                       std::int64_t acknowledged)
 {
     is_publishing_ = false;
+    note_store_time(result.store_time);
     auto const started_at = publish_started_at_;
     bool is_written = result.outcome == rows::commit_outcome::committed;
     if (is_written)
--- a/packages/agents/agent_service.hpp
+++ b/packages/agents/agent_service.hpp
@@ -3,6 +3,7 @@
 #include "agents/executor_runtime.hpp"
 #include "agents/run_book.hpp"
 #include "event/timer_service.hpp"
+#include "jobs/lease_timing.hpp"
 #include "jobs/worker_report.hpp"
 #include "rows/row_store.hpp"
 #include "rows/table_replica.hpp"
@@ -23,12 +24,7 @@
     struct options
     {
         std::string agent; ///< name of this agent, unique in the fleet
-        /// The longest lease that the executor grants.
-        core::duration lease{6000};
-        /// How long leases are extended after the last stored report. It
-        /// carries running work through outages of the store; the decider
-        /// waits for longer before it takes a silent worker for lost.
-        core::duration lease_without_store{10'000};
+        jobs::lease_timing timing;
     };
 
     agent_service(rows::row_store& store, event::timer_service& timers,
@@ -68,6 +64,7 @@
     std::int64_t lease_end_ms() const;
     bool may_extend_lease() const;
     void note_clock(std::int64_t clock_ms);
+    void note_store_time(core::duration store_time);
 
     rows::row_store& store_;
     event::timer_service& timers_;
@@ -102,6 +99,9 @@
     core::time_point published_at_{};
     core::time_point publish_started_at_{};
     std::optional<core::time_point> store_contact_at_;
+    /// The store's clock when it was last read, and when that was.
+    core::duration store_time_{0};
+    core::time_point store_time_read_at_{};
 
     std::unique_ptr<event::timer> tick_timer_;
     std::unique_ptr<event::timer> load_timer_;
--- /dev/null
+++ b/packages/jobs/lease_timing.cpp
@@ -0,0 +1,37 @@
+#include "jobs/lease_timing.hpp"
+
+#include <algorithm>
+
+namespace sequoiaroute::jobs {
+
+namespace {
+
+/// Work survives outages of the store that last so long.
+constexpr core::duration survived_outage{10'500};
+/// Two reports may be missed before leases run out.
+constexpr core::duration least_without_store{3000};
+/// How much slower than true time an executor's clock may be.
+constexpr double slowest_clock = 1.02;
+/// A report may be sent so long before the decider's copy has it.
+constexpr core::duration report_delay{2000};
+
+} // namespace
+
+core::duration lease_timing::without_store() const
+{
+    return std::max(least_without_store, survived_outage - lease);
+}
+
+core::duration lease_timing::lapse() const
+{
+    return core::duration(static_cast<core::duration::rep>(
+               static_cast<double>(lease.count()) * slowest_clock)) +
+           stop;
+}
+
+core::duration lease_timing::lost_after() const
+{
+    return without_store() + lapse() + report_delay;
+}
+
+} // namespace sequoiaroute::jobs
--- a/packages/jobs/row_codec.cpp
+++ b/packages/jobs/row_codec.cpp
@@ -269,6 +269,7 @@
     for (auto const& task : value.ended)
         ended.push_back({to_json(task.run), name(task.end), task.checkpoint});
     return dump({{"agent", value.agent},
+                 {"written_at_ms", value.written_at.count()},
                  {"worker", to_json(value.worker)},
                  {"running", std::move(running)},
                  {"ended", std::move(ended)}});
@@ -279,6 +280,7 @@
     return decode<worker_report>(text, [](json const& document) {
         worker_report value;
         value.agent = document.at("agent");
+        value.written_at = core::duration(document.at("written_at_ms"));
         value.worker = worker_from(document.at("worker"));
         for (auto const& task : document.at("running")) {
             value.running.push_back(
--- a/packages/jobs/worker_report.hpp
+++ b/packages/jobs/worker_report.hpp
@@ -87,6 +87,8 @@
 struct worker_report
 {
     std::string agent;
+    /// When it was written, by the store's steady clock.
+    core::duration written_at{0};
     worker_description worker;
     std::vector<running_task> running;
     std::vector<ended_task> ended;
--- a/packages/programs/schedule_entry.cpp
+++ b/packages/programs/schedule_entry.cpp
@@ -7,6 +7,7 @@
 #include "event/evhttp_client.hpp"
 #include "gateway/customer_service.hpp"
 #include "gateway/job_directory.hpp"
+#include "jobs/lease_timing.hpp"
 #include "rows/row_layout.hpp"
 #include "rules_decoder.hpp"
 #include "scheduler/decider_service.hpp"
@@ -25,11 +26,6 @@
 constexpr core::duration balancer_delay{3000};
 /// What is left of the grace period when the process ends.
 constexpr core::duration exit_reserve{1200};
-/// How long an agent extends leases without the store; see agent_service.
-constexpr core::duration lease_without_store{10'000};
-constexpr double slowest_clock = 1.02;
-/// Delays between a stored report and the decider's copy of it.
-constexpr core::duration report_delay{2000};
 /// How much longer than promised the state of a finished job is kept.
 constexpr core::duration retention_slack{60'000};
 
@@ -52,12 +48,9 @@
 scheduler::scheduler_limits limits_from(core::settings const& settings)
 {
     scheduler::scheduler_limits limits;
-    auto const lease = settings.time("bounds.lease");
-    limits.lost_after =
-        lease_without_store +
-        core::duration(static_cast<std::int64_t>(
-            static_cast<double>(lease.count()) * slowest_clock)) +
-        settings.time("bounds.stop") + report_delay;
+    jobs::lease_timing const timing{settings.time("bounds.lease"),
+                                    settings.time("bounds.stop")};
+    limits.lost_after = timing.lost_after();
     limits.retention = settings.time("bounds.state_kept") + retention_slack;
     return limits;
 }
--- a/packages/programs/store_agent.cpp
+++ b/packages/programs/store_agent.cpp
@@ -25,6 +25,7 @@
         {"executor", "address", setting_type::address, {}, true},
         {"store", "address", setting_type::address, {}, true},
         {"bounds", "lease", setting_type::time, "6s", false},
+        {"bounds", "stop", setting_type::time, "1s", false},
     };
     return list;
 }
@@ -40,7 +41,8 @@
     // The address names the agent: a machine that replaces another one may
     // have its name, but never its address.
     options.agent = settings.text("process.address");
-    options.lease = settings.time("bounds.lease");
+    options.timing = {settings.time("bounds.lease"),
+                      settings.time("bounds.stop")};
     agents::agent_service agent(store, *loop, executor, options);
     SEQUOIA_TRY_INTO(
         auto const server,
--- a/packages/rows/row_store.hpp
+++ b/packages/rows/row_store.hpp
@@ -73,6 +73,8 @@
 {
     commit_outcome outcome = commit_outcome::unknown;
     row_version version = no_row; ///< that of all written rows
+    /// The store's steady clock, zero if there was no answer.
+    core::duration store_time{0};
     /// For a conflict: the rows of the conditions as they are. A row that does
     /// not exist is left out.
     std::vector<row> current;
--- a/packages/rows/table_replica.cpp
+++ b/packages/rows/table_replica.cpp
@@ -33,6 +33,13 @@
     return timers_.now() - *confirmed_at_;
 }
 
+core::duration table_replica::store_time() const
+{
+    if (!is_loaded())
+        return core::duration(0);
+    return store_time_ + (timers_.now() - store_time_read_at_);
+}
+
 row_version table_replica::version_of(row_key const& key) const
 {
     auto const found = rows_.find(key);
@@ -58,6 +65,8 @@
                     if (!result.is_ok)
                         return retry([this] { load(); });
                     loading_version_ = result.version;
+                    store_time_ = result.store_time;
+                    store_time_read_at_ = timers_.now();
                     list_parts();
                 });
 }
--- a/packages/rows/table_replica.hpp
+++ b/packages/rows/table_replica.hpp
@@ -52,6 +52,9 @@
         return confirmed_at_;
     }
 
+    /// @return the store's steady clock now; zero before the table was read
+    core::duration store_time() const;
+
     /// @return how long ago the copy was known to be complete
     core::duration age() const;
 
@@ -80,6 +83,9 @@
     row_version version_ = no_row;
     std::optional<core::time_point> confirmed_at_;
     core::time_point sent_at_{};
+    /// The store's clock at the last reading, and when that was.
+    core::duration store_time_{0};
+    core::time_point store_time_read_at_{};
 
     // State of a reading of the whole table.
     std::vector<std::string> parts_to_load_;
--- a/packages/scheduler/decider_service.cpp
+++ b/packages/scheduler/decider_service.cpp
@@ -41,16 +41,16 @@
         tasks += step.task_count;
         accelerators += step.task_count * step.task.accelerators;
     }
-    core::log_event("job_queued",
-                    {{"job", job.job_id},
-                     {"customer", job.customer},
-                     {"queue", job.terms.queue},
-                     {"priority", job.terms.priority},
-                     {"steps", static_cast<std::int64_t>(
-                                   job.spec.steps.size())},
-                     {"tasks", tasks},
-                     {"accelerators", accelerators},
-                     {"version", static_cast<std::int64_t>(version)}});
+    core::log_event(
+        "job_queued",
+        {{"job", job.job_id},
+         {"customer", job.customer},
+         {"queue", job.terms.queue},
+         {"priority", job.terms.priority},
+         {"steps", static_cast<std::int64_t>(job.spec.steps.size())},
+         {"tasks", tasks},
+         {"accelerators", accelerators},
+         {"version", static_cast<std::int64_t>(version)}});
 }
 
 void log_changes(std::vector<job_change> const& changes)
@@ -250,7 +250,7 @@
                                      core::duration(1000),
                                      round_delay,
                                      {}},
-        [this](rows::row const& changed) { receive_report(changed); },
+        [this](rows::row const& changed) { receive_report(changed, false); },
         [this] { decide_soon(); });
     reports_->start();
     for (std::size_t table = 0; table < rows::layout::order_tables; ++table)
@@ -348,7 +348,7 @@
          {"workers", static_cast<std::int64_t>(reports_->rows().size())}});
     loaded_orders_.clear();
     for (auto const& [key, row] : reports_->rows())
-        receive_report(row);
+        receive_report(row, true);
     decide_soon();
 }
 
@@ -372,7 +372,8 @@
     }
 }
 
-void decider_service::receive_report(rows::row const& changed)
+void decider_service::receive_report(rows::row const& changed,
+                                     bool is_from_loading)
 {
     if (core_ == nullptr || changed.is_removed)
         return;
@@ -383,7 +384,14 @@
                          {"fault", core::failure(report).message}});
         return;
     }
-    core_->receive(core::value(std::move(report)), timers_.now());
+    auto heard_at = timers_.now();
+    if (is_from_loading) {
+        // The worker may have fallen silent long before this takeover.
+        auto const age =
+            reports_->store_time() - core::value(report).written_at;
+        heard_at -= std::max(age, core::duration(0));
+    }
+    core_->receive(core::value(std::move(report)), heard_at);
 }
 
 void decider_service::decide_soon()
--- a/packages/scheduler/decider_service.hpp
+++ b/packages/scheduler/decider_service.hpp
@@ -57,7 +57,7 @@
     void become_decider(rows::row_version version);
     void resign(std::string_view reason);
     void load_orders(std::size_t table);
-    void receive_report(rows::row const& changed);
+    void receive_report(rows::row const& changed, bool is_from_loading);
     void build_core_if_loaded();
     void add_row(rows::row const& changed);
     void decide_soon();
--- a/packages/scheduler/group_builder.cpp
+++ b/packages/scheduler/group_builder.cpp
@@ -274,8 +274,7 @@
     return groups;
 }
 
-bool is_stalled(open_job const& job, assignment const& run,
-                core::time_point now)
+bool is_stalled(open_job const& job, assignment const& run)
 {
     if (!run.seen_running_at || run.is_stopping())
         return false;
@@ -286,7 +285,9 @@
         return false;
     auto const expected = core::duration(static_cast<std::int64_t>(
         stall_share_of_estimate * static_cast<double>(step.estimate.count())));
-    return now - run.percent_changed_at > std::max(stall_time, expected);
+    // While no reports arrive, nothing is known of the run's progress.
+    return run.observed_at - run.percent_changed_at >
+           std::max(stall_time, expected);
 }
 
 std::vector<placement::worker>
@@ -322,7 +323,7 @@
             entry.free -= run.task;
             if (!run.is_stopping())
                 entry.free_soon -= run.task;
-            if (is_stalled(job, run, now))
+            if (is_stalled(job, run))
                 entry.is_accepting = false;
         }
     }
--- a/packages/scheduler/group_builder.hpp
+++ b/packages/scheduler/group_builder.hpp
@@ -59,7 +59,6 @@
                 core::duration fresh_after);
 
 /// @return whether a run stands still although its worker reports
-bool is_stalled(open_job const& job, assignment const& run,
-                core::time_point now);
+bool is_stalled(open_job const& job, assignment const& run);
 
 } // namespace sequoiaroute::scheduler
--- a/packages/scheduler/open_job.hpp
+++ b/packages/scheduler/open_job.hpp
@@ -33,6 +33,7 @@
     std::int32_t first_percent = 0; ///< when it was first seen
     std::int32_t percent = 0;
     core::time_point percent_changed_at{};
+    core::time_point observed_at{}; ///< by the newest report that lists it
     /// A member of its gang has ended.
     std::optional<core::time_point> gang_broken_at;
 
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -172,6 +172,7 @@
             known.first_percent = task.percent;
         }
         known.percent = task.percent;
+        known.observed_at = now;
     }
 }
 
@@ -412,9 +413,9 @@
                 stop(job, run, "another member of the gang has ended");
                 continue;
             }
-            if (is_stalled(job, run, now) &&
+            if (is_stalled(job, run) &&
                 (run.percent < stalled_restart_percent ||
-                 now - run.percent_changed_at > stalled_limit)) {
+                 run.observed_at - run.percent_changed_at > stalled_limit)) {
                 job.failed_on[key_of(task)][run.order.agent] = now;
                 stop_step(job, task, "stands still");
                 continue;
--- a/tests/jobs/row_codec_test.cpp
+++ b/tests/jobs/row_codec_test.cpp
@@ -69,6 +69,7 @@
 {
     worker_report report;
     report.agent = "10.0.0.1";
+    report.written_at = core::duration(77);
     report.worker = {{"i-1", 7},
                      "pressroom",
                      "a",
--- a/tests/scheduler/decider_service_test.cpp
+++ b/tests/scheduler/decider_service_test.cpp
@@ -45,6 +45,7 @@
     {
         jobs::worker_report report;
         report.agent = agent;
+        report.written_at = timers.now().time_since_epoch();
         report.worker = {{"i-" + agent, 1},
                          "s",
                          "z",
@@ -107,6 +108,22 @@
     EXPECT_TRUE(order("j"));
 }
 
+// Guards against work that is given to a worker which fell silent before this
+// decider took over; its old report is still in the store.
+TEST_F(decider_service_test, gives_no_work_to_a_worker_long_silent)
+{
+    add_worker("a");
+    timers.advance(8s);
+    entry first(store, timers, "one");
+    timers.advance(1s);
+    add_job("j");
+    timers.advance(200ms);
+    EXPECT_FALSE(order("j"));
+    add_worker("a");
+    timers.advance(200ms);
+    EXPECT_TRUE(order("j"));
+}
+
 // Guards against orders that are given twice, or lost, with an answer of the
 // store.
 TEST_F(decider_service_test, goes_on_after_a_lost_answer)
--- a/tests/scheduler/scheduler_core_test.cpp
+++ b/tests/scheduler/scheduler_core_test.cpp
@@ -316,6 +316,20 @@
     EXPECT_EQ(orders(decide(), stops).size(), 1U);
 }
 
+// Load: the store is down for some seconds, so no reports arrive. Guards
+// against work that is thrown away because its progress is not known.
+TEST_F(scheduler_core_test, leaves_runs_alone_while_no_reports_arrive)
+{
+    add_worker("a");
+    add_job("j", 1, 1);
+    auto const first = decide_starts();
+    report_running(first[0], 10);
+    now_ += 6s;
+    EXPECT_TRUE(orders(decide(), stops).empty());
+    report_running(first[0], 60);
+    EXPECT_TRUE(orders(decide(), stops).empty());
+}
+
 TEST_F(scheduler_core_test, removes_a_finished_job_after_its_retention)
 {
     add_worker("a");
--- a/tests/support/memory_row_store.hpp
+++ b/tests/support/memory_row_store.hpp
@@ -89,6 +89,7 @@
         rows::page page;
         page.is_ok = reads == fault::none;
         page.version = version_;
+        page.store_time = timers_.now().time_since_epoch();
         for (auto const& [key, row] : rows_) {
             if (!page.is_ok || key.table != wanted.table ||
                 key.part != wanted.part || key.key < wanted.from ||
@@ -162,6 +163,7 @@
         result.current.clear();
         result.outcome = rows::commit_outcome::committed;
         result.version = ++version_;
+        result.store_time = timers_.now().time_since_epoch();
         for (auto const& change : changes.writes)
             write(change.key, change.value, version_);
         for (auto const& key : changes.removals) {
