gateway: Send no write to a store that does not answer

Work went to workers that had fallen silent up to 4 s before; a gang with a member on a lost worker waited 18 s for its lease.

Ruled out: answering 503 for a write that was sent, which may still take effect.

Change: a monitor judges from all calls whether the store answers; jobs are refused at once while it does not, and a caller's last try waits for it. Copies ask again at once when the store returns. Workers take no work 2 s after their last report. A member that ends as broken shows that silent members of its gang have ended.

--- a/packages/agents/agent_service.cpp
+++ b/packages/agents/agent_service.cpp
@@ -13,7 +13,7 @@
 
 constexpr core::duration tick_period{100};
 /// How often an unchanged report is written, to show that the agent is there.
-constexpr core::duration report_period{1500};
+constexpr core::duration report_period{1200};
 constexpr core::duration hold_wait{1000};
 constexpr core::duration report_timeout{1000};
 constexpr core::duration retry_delay{150};
@@ -207,7 +207,7 @@
 std::int64_t agent_service::lease_end_ms() const
 {
     auto const passed = timers_.now() - clock_read_at_;
-    return clock_ms_ + passed.count() + options_.timing.lease.count();
+    return clock_ms_ + passed.count() + options_.timing.lease().count();
 }
 
 bool agent_service::may_extend_lease() const
--- a/packages/gateway/customer_service.cpp
+++ b/packages/gateway/customer_service.cpp
@@ -18,8 +18,10 @@
 /// A process whose copy is older than this asks to be passed over.
 constexpr core::duration oldest_ready_copy{3000};
 constexpr core::duration write_timeout{700};
+/// Less time than this is not enough for a write.
+constexpr core::duration least_write_time{100};
 /// Writes are repeated until this much of the caller's time is left.
-constexpr core::duration answer_reserve{300};
+constexpr core::duration answer_reserve{150};
 constexpr core::duration default_time_limit{2000};
 constexpr core::duration retry_delay{100};
 /// When to come back after a refusal by the store: its outages last seconds.
@@ -80,7 +82,7 @@
     std::unique_ptr<event::timer> retry_timer;
 };
 
-customer_service::customer_service(rows::row_store& store,
+customer_service::customer_service(rows::monitored_store& store,
                                    event::timer_service& timers,
                                    rules_source const& rules,
                                    rows::table_replica const& work,
@@ -88,6 +90,7 @@
     : store_(store), timers_(timers), rules_(rules), work_(work),
       directory_(directory)
 {
+    store_.on_return([this] { resume_waiting(); });
 }
 
 bool customer_service::is_ready() const
@@ -218,8 +221,10 @@
 
 void customer_service::send(std::shared_ptr<pending_write> const& write)
 {
+    if (!store_.is_reachable())
+        return wait_for_store(write);
     auto const left = write->give_up_at - timers_.now();
-    auto const timeout = std::clamp(left, core::duration(100), write_timeout);
+    auto const timeout = std::clamp(left, least_write_time, write_timeout);
     auto const& changes = write->changes;
     store_.commit(changes, timeout,
                   [this, write](rows::commit_result const& result) {
@@ -227,6 +232,47 @@
                   });
 }
 
+/// A write that was not sent is refused while its customer has time to come
+/// back; one that comes back for the last time, or whose outcome is open,
+/// waits for the store.
+void customer_service::wait_for_store(
+    std::shared_ptr<pending_write> const& write)
+{
+    auto const left = write->give_up_at - timers_.now();
+    if (!write->may_be_done && left > store_retry_after + least_write_time)
+        return give_up(write);
+    if (left <= core::duration(0))
+        return give_up(write);
+    waiting_.push_back(write);
+    std::weak_ptr<pending_write> const weak = write;
+    write->retry_timer = timers_.after(left, [this, weak] {
+        if (auto const expired = weak.lock()) {
+            waiting_.remove(expired);
+            give_up(expired);
+        }
+    });
+}
+
+void customer_service::resume_waiting()
+{
+    for (auto const& write : std::exchange(waiting_, {})) {
+        write->retry_timer.reset();
+        send(write);
+    }
+}
+
+void customer_service::give_up(std::shared_ptr<pending_write> const& write)
+{
+    if (write->may_be_done) {
+        log_call("write_unknown", write->job_id, "the store gave no answer");
+        write->respond(make_refusal(call_outcome::unknown));
+    } else {
+        log_call("job_refused", write->job_id,
+                 "the store does not take the write");
+        write->respond(make_refusal(call_outcome::not_accepted));
+    }
+}
+
 void customer_service::receive(std::shared_ptr<pending_write> const& write,
                                rows::commit_result const& result)
 {
@@ -245,19 +291,17 @@
     }
     if (result.outcome == commit_outcome::unknown)
         write->may_be_done = true;
-    else if (!write->may_be_done) {
-        log_call("job_refused", write->job_id, "the store refused the write");
-        return write->respond(make_refusal(call_outcome::not_accepted));
-    }
-    if (timers_.now() + retry_delay >= write->give_up_at) {
-        log_call("write_unknown", write->job_id, "the store gave no answer");
-        return write->respond(make_refusal(call_outcome::unknown));
-    }
-    // The callback takes the timer out of the write, since each owns the
-    // other.
-    write->retry_timer = timers_.after(retry_delay, [this, write] {
-        auto const timer = std::move(write->retry_timer);
-        send(write);
+    if (!store_.is_reachable())
+        return wait_for_store(write);
+    if (timers_.now() + retry_delay >= write->give_up_at)
+        return give_up(write);
+    pausing_.push_back(write);
+    std::weak_ptr<pending_write> const weak = write;
+    write->retry_timer = timers_.after(retry_delay, [this, weak] {
+        if (auto const rested = weak.lock()) {
+            pausing_.remove(rested);
+            send(rested);
+        }
     });
 }
 
--- a/packages/gateway/customer_service.hpp
+++ b/packages/gateway/customer_service.hpp
@@ -4,9 +4,10 @@
 #include "gateway/customer_call.hpp"
 #include "gateway/job_directory.hpp"
 #include "gateway/rules_source.hpp"
-#include "rows/row_store.hpp"
+#include "rows/monitored_store.hpp"
 #include "rows/table_replica.hpp"
 
+#include <list>
 #include <memory>
 #include <string>
 
@@ -17,12 +18,12 @@
 class customer_service
 {
 public:
-    /// @param store where jobs are stored
+    /// @param store where jobs are stored; watched for outages
     /// @param timers time
     /// @param rules the rules in force
     /// @param work the copy of the work table
     /// @param directory what that copy says of jobs
-    customer_service(rows::row_store& store, event::timer_service& timers,
+    customer_service(rows::monitored_store& store, event::timer_service& timers,
                      rules_source const& rules, rows::table_replica const& work,
                      job_directory const& directory);
 
@@ -44,14 +45,21 @@
     void read_state(std::string const& job_id, customer_responder respond);
     void ask_store(std::string const& job_id, customer_responder respond);
     void send(std::shared_ptr<pending_write> const& write);
+    void wait_for_store(std::shared_ptr<pending_write> const& write);
+    void give_up(std::shared_ptr<pending_write> const& write);
+    void resume_waiting();
     void receive(std::shared_ptr<pending_write> const& write,
                  rows::commit_result const& result);
 
-    rows::row_store& store_;
+    rows::monitored_store& store_;
     event::timer_service& timers_;
     rules_source const& rules_;
     rows::table_replica const& work_;
     job_directory const& directory_;
+    /// Writes that wait for the store to answer again.
+    std::list<std::shared_ptr<pending_write>> waiting_;
+    /// Writes that are sent again after a pause.
+    std::list<std::shared_ptr<pending_write>> pausing_;
 };
 
 } // namespace sequoiaroute::gateway
--- a/packages/jobs/lease_timing.hpp
+++ b/packages/jobs/lease_timing.hpp
@@ -10,10 +10,13 @@
 struct lease_timing
 {
     /// The longest lease that an executor grants.
-    core::duration lease{6000};
+    core::duration longest_lease{6000};
     /// How long a stop may take.
     core::duration stop{1000};
 
+    /// @return for how long agents extend the lease each time
+    core::duration lease() const;
+
     /// @return how long an agent extends leases after its last stored report
     core::duration without_store() const;
 
--- a/packages/programs/schedule_entry.cpp
+++ b/packages/programs/schedule_entry.cpp
@@ -8,6 +8,7 @@
 #include "gateway/customer_service.hpp"
 #include "gateway/job_directory.hpp"
 #include "jobs/lease_timing.hpp"
+#include "rows/monitored_store.hpp"
 #include "rows/row_layout.hpp"
 #include "rules_decoder.hpp"
 #include "scheduler/decider_service.hpp"
@@ -62,16 +63,18 @@
     schedule_entry(std::unique_ptr<event::event_loop> loop,
                    core::settings settings)
         : settings_(std::move(settings)), loop_(std::move(loop)),
-          client_(*loop_), store_(client_, settings_.text("store.address")),
-          rules_(store_, *loop_), work_(store_, *loop_,
-                                        {std::string(rows::layout::work_table),
-                                         work_feed_wait,
-                                         core::duration(0),
-                                         {}},
-                                        [this](rows::row const& changed) {
-                                            directory_.observe(changed);
-                                            decider_.observe(changed);
-                                        }),
+          client_(*loop_),
+          store_client_(client_, settings_.text("store.address")),
+          store_(store_client_, *loop_), rules_(store_, *loop_),
+          work_(store_, *loop_,
+                {std::string(rows::layout::work_table),
+                 work_feed_wait,
+                 core::duration(0),
+                 {}},
+                [this](rows::row const& changed) {
+                    directory_.observe(changed);
+                    decider_.observe(changed);
+                }),
           customers_(store_, *loop_, rules_, work_, directory_),
           decider_(store_, *loop_, work_, [this] { return rules_.current(); },
                    {settings_.text("process.node"), limits_from(settings_)})
@@ -101,6 +104,10 @@
             core::log_event("settings_changed",
                             {{"effect", "from the next start on"}});
         });
+        store_.on_return([this] {
+            rules_.restart();
+            work_.restart();
+        });
         rules_.start();
         work_.start();
         decider_.start();
@@ -140,7 +147,8 @@
     core::settings settings_;
     std::unique_ptr<event::event_loop> loop_;
     event::evhttp_client client_;
-    adapter::store_client store_;
+    adapter::store_client store_client_;
+    rows::monitored_store store_;
     adapter::store_rules rules_;
     gateway::job_directory directory_;
     rows::table_replica work_;
--- a/packages/rows/table_replica.cpp
+++ b/packages/rows/table_replica.cpp
@@ -26,6 +26,22 @@
     load();
 }
 
+void table_replica::restart()
+{
+    ++attempt_;
+    retry_timer_.reset();
+    // An answer at once shows that the copy is up to date.
+    if (is_loaded())
+        follow(core::duration(0));
+    else
+        load();
+}
+
+bool table_replica::is_current(std::uint64_t attempt) const
+{
+    return attempt == attempt_;
+}
+
 core::duration table_replica::age() const
 {
     if (!confirmed_at_)
@@ -59,8 +75,8 @@
     // Changes are followed from before the parts are listed, so that a part
     // that appears meanwhile is not missed.
     store_.read({options_.table, {}, {}, std::nullopt, 1},
-                [this, alive](page const& result) {
-                    if (alive.expired())
+                [this, alive, attempt = attempt_](page const& result) {
+                    if (alive.expired() || !is_current(attempt))
                         return;
                     if (!result.is_ok)
                         return retry([this] { load(); });
@@ -74,13 +90,14 @@
 void table_replica::list_parts()
 {
     std::weak_ptr<bool> const alive = alive_;
-    store_.list_parts(options_.table, [this, alive](part_list const& list) {
-        if (alive.expired())
-            return;
-        if (!list.is_ok)
-            return retry([this] { load(); });
-        load_parts(list.parts);
-    });
+    store_.list_parts(options_.table,
+                      [this, alive, attempt = attempt_](part_list const& list) {
+                          if (alive.expired() || !is_current(attempt))
+                              return;
+                          if (!list.is_ok)
+                              return retry([this] { load(); });
+                          load_parts(list.parts);
+                      });
 }
 
 void table_replica::load_parts(std::vector<std::string> parts)
@@ -99,8 +116,9 @@
         ++wanted.until->back();
     }
     std::weak_ptr<bool> const alive = alive_;
-    store_.read(std::move(wanted), [this, alive, part](page result) {
-        if (alive.expired())
+    store_.read(std::move(wanted), [this, alive, attempt = attempt_,
+                                    part](page result) {
+        if (alive.expired() || !is_current(attempt))
             return;
         if (!result.is_ok)
             return retry([this] { load(); });
@@ -133,16 +151,16 @@
     confirmed_at_ = sent_at_;
     if (on_pass_)
         on_pass_();
-    follow();
+    follow(options_.wait);
 }
 
-void table_replica::follow()
+void table_replica::follow(core::duration wait)
 {
     sent_at_ = timers_.now();
     std::weak_ptr<bool> const alive = alive_;
-    store_.follow(options_.table, version_, options_.wait,
-                  [this, alive](feed_page page) {
-                      if (!alive.expired())
+    store_.follow(options_.table, version_, wait,
+                  [this, alive, attempt = attempt_](feed_page page) {
+                      if (!alive.expired() && is_current(attempt))
                           receive(std::move(page));
                   });
 }
@@ -152,7 +170,7 @@
     if (page.outcome == feed_outcome::history_lost)
         return load();
     if (page.outcome == feed_outcome::unavailable)
-        return retry([this] { follow(); });
+        return retry([this] { follow(options_.wait); });
     bool const has_changes = !page.rows.empty();
     for (auto& changed : page.rows)
         apply(std::move(changed));
@@ -161,9 +179,10 @@
     if (on_pass_)
         on_pass_();
     if (has_changes && options_.pause > core::duration(0))
-        retry_timer_ = timers_.after(options_.pause, [this] { follow(); });
+        retry_timer_ =
+            timers_.after(options_.pause, [this] { follow(options_.wait); });
     else
-        follow();
+        follow(options_.wait);
 }
 
 void table_replica::apply(row changed)
--- a/packages/rows/table_replica.hpp
+++ b/packages/rows/table_replica.hpp
@@ -43,6 +43,10 @@
     /// Starts following.
     void start();
 
+    /// Asks again at once, without waiting for an answer under way. Used when
+    /// the store answers again after a silence.
+    void restart();
+
     /// @return whether the table has been read whole once
     bool is_loaded() const { return confirmed_at_.has_value(); }
 
@@ -69,10 +73,11 @@
     void load_parts(std::vector<std::string> parts);
     void load_page(std::string const& part, std::string from);
     void finish_load();
-    void follow();
+    void follow(core::duration wait);
     void receive(feed_page page);
     void apply(row changed);
     void retry(std::function<void()> step);
+    bool is_current(std::uint64_t attempt) const;
 
     row_store& store_;
     event::timer_service& timers_;
@@ -92,6 +97,8 @@
     std::map<row_key, row> loading_;
     row_version loading_version_ = no_row;
     std::unique_ptr<event::timer> retry_timer_;
+    /// Answers to calls of earlier attempts are ignored.
+    std::uint64_t attempt_ = 0;
     /// Callbacks of the store hold it weakly, so that they end with this
     /// object.
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/packages/scheduler/open_job.hpp
+++ b/packages/scheduler/open_job.hpp
@@ -36,6 +36,8 @@
     core::time_point observed_at{}; ///< by the newest report that lists it
     /// A member of its gang has ended.
     std::optional<core::time_point> gang_broken_at;
+    /// An ended member says that yet another one had ended before.
+    bool is_gang_over = false;
 
     bool is_stopping() const { return order.is_to_stop; }
 };
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -227,7 +227,7 @@
     default:
         break;
     }
-    break_gang(job, order.run, now);
+    break_gang(job, order.run, end, now);
 }
 
 void scheduler_core::mark_done(open_job& job, jobs::task_id const& task)
@@ -274,13 +274,16 @@
 }
 
 void scheduler_core::break_gang(open_job& job, jobs::run_id const& ended,
-                                core::time_point now)
+                                jobs::run_end end, core::time_point now)
 {
     if (!step_of(job, ended.task).is_gang)
         return;
     for (auto& [task, run] : job.assignments) {
-        if (key_of(task) == key_of(ended.task) && !run.gang_broken_at)
+        if (key_of(task) != key_of(ended.task))
+            continue;
+        if (!run.gang_broken_at)
             run.gang_broken_at = now;
+        run.is_gang_over = run.is_gang_over || end == jobs::run_end::broken;
     }
 }
 
@@ -336,16 +339,26 @@
         for (auto run = job.assignments.begin();
              run != job.assignments.end();) {
             auto const current = run++;
-            auto const worker = workers_.find(current->second.order.agent);
-            if (worker == workers_.end())
-                continue;
-            if (at.reports_confirmed_at - worker->second.heard_at >
-                limits_.lost_after)
+            if (has_surely_ended(current->second, at))
                 end_run(job, current, jobs::run_end::lapsed, {}, at.now);
         }
     }
 }
 
+bool scheduler_core::has_surely_ended(assignment const& run,
+                                      moment const& at) const
+{
+    auto const worker = workers_.find(run.order.agent);
+    if (worker == workers_.end())
+        return false;
+    auto const silence = at.reports_confirmed_at - worker->second.heard_at;
+    // A member ends as broken after another one has ended. The members end
+    // together, so those on silent workers have ended as well.
+    if (run.is_gang_over && silence > limits_.report_fresh)
+        return true;
+    return silence > limits_.lost_after;
+}
+
 void scheduler_core::open_occurrences(open_job& job, std::int64_t wall_ms)
 {
     auto const& spec = job.submission.spec;
--- a/packages/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/scheduler_core.hpp
@@ -17,7 +17,7 @@
 struct scheduler_limits
 {
     /// A worker that was not heard for so long takes no new runs.
-    core::duration report_fresh{4000};
+    core::duration report_fresh{2000};
     /// Every lease has run out on a worker that was not heard for so long.
     core::duration lost_after{18'000};
     /// How long the state of a finished job is kept.
@@ -84,8 +84,9 @@
     void record_failure(open_job& job, jobs::run_order const& order,
                         core::time_point now);
     void mark_done(open_job& job, jobs::task_id const& task);
-    void break_gang(open_job& job, jobs::run_id const& ended,
+    void break_gang(open_job& job, jobs::run_id const& ended, jobs::run_end end,
                     core::time_point now);
+    bool has_surely_ended(assignment const& run, moment const& at) const;
     void stop(open_job& job, assignment& run, std::string_view reason);
     void stop_step(open_job& job, jobs::task_id const& member,
                    std::string_view reason);
--- a/tests/scheduler/decider_service_test.cpp
+++ b/tests/scheduler/decider_service_test.cpp
@@ -159,6 +159,8 @@
     store.next_commits = memory_row_store::fault::none;
     entry second(store, timers, "two");
     timers.advance(4s);
+    add_worker("a");
+    timers.advance(200ms);
     ASSERT_TRUE(second.decider.is_decider());
     EXPECT_EQ(store.carry_out_silent_commits(), 0U);
     EXPECT_TRUE(order("j"));
--- a/tests/scheduler/scheduler_core_test.cpp
+++ b/tests/scheduler/scheduler_core_test.cpp
@@ -196,6 +196,27 @@
     EXPECT_TRUE(decide_starts().empty());
 }
 
+// Load: a worker is lost with one member of an urgent gang. The other members
+// end as broken, which shows that the silent one has ended.
+TEST_F(scheduler_core_test, runs_a_gang_again_when_a_member_was_lost)
+{
+    add_worker("a");
+    add_worker("b");
+    add_worker("c");
+    add_job("g", 2, 8, true, 0);
+    auto const started = decide_starts();
+    ASSERT_EQ(started.size(), 2U);
+    now_ += 1s;
+    report_end(started[0], jobs::run_end::broken);
+    EXPECT_TRUE(decide_starts().empty());
+    now_ += 1500ms;
+    core_.receive(reports_.at("c"), now_);
+    core_.receive(reports_.at(started[0].agent), now_);
+    auto const again = decide_starts();
+    ASSERT_EQ(again.size(), 2U);
+    EXPECT_EQ(again[0].run.run, 2);
+}
+
 // Guards against a gang that fails after half of its attempts.
 TEST_F(scheduler_core_test, counts_the_failures_of_one_gang_run_once)
 {
