rows: Spread jobs and reports over parts, and wait by the store's answer time

Cause: a part of the store carries out one transaction after another.

Ruled out: longer fixed time limits, which would stall the decider when an answer is lost.

Change: 16 parts for jobs, 64 for reports, read side by side; limits of waiting and the pace of renewals and reports follow the recent time of an answer. Rows of retired jobs go before their progress, since a job without progress would be taken for a new one.

--- a/packages/agents/agent_service.cpp
+++ b/packages/agents/agent_service.cpp
@@ -15,7 +15,6 @@
 /// How often an unchanged report is written, to show that the agent is there.
 constexpr core::duration report_period{1200};
 constexpr core::duration hold_wait{1000};
-constexpr core::duration report_timeout{1000};
 constexpr core::duration retry_delay{150};
 constexpr core::duration look_period{60};
 /// Connections refused on this machine for so long: the executor has ended.
@@ -338,7 +337,8 @@
     bool const has_new_end = book_.end_count() != published_ends_;
     bool const has_new_list = highest_listed_ > acknowledged_;
     if (has_new_end || has_new_list || is_report_urgent_ ||
-        timers_.now() - published_at_ >= report_period)
+        timers_.now() - published_at_ >=
+            std::max(report_period, 3 * answer_time_.typical()))
         publish();
 }
 
@@ -356,7 +356,7 @@
     auto const acknowledged = highest_listed_;
     std::weak_ptr<bool> const alive = alive_;
     store_.commit(
-        std::move(changes), report_timeout,
+        std::move(changes), answer_time_.timeout(),
         [this, alive, acknowledged](rows::commit_result const& result) {
             if (!alive.expired())
                 receive_published(result, acknowledged);
@@ -369,6 +369,10 @@
     is_publishing_ = false;
     note_store_time(result.store_time);
     auto const started_at = publish_started_at_;
+    if (result.outcome == rows::commit_outcome::unknown)
+        answer_time_.record_silence();
+    else
+        answer_time_.record(timers_.now() - started_at);
     bool is_written = result.outcome == rows::commit_outcome::committed;
     if (is_written)
         report_version_ = result.version;
--- a/packages/agents/agent_service.hpp
+++ b/packages/agents/agent_service.hpp
@@ -5,6 +5,7 @@
 #include "event/timer_service.hpp"
 #include "jobs/lease_timing.hpp"
 #include "jobs/worker_report.hpp"
+#include "rows/answer_time.hpp"
 #include "rows/row_store.hpp"
 #include "rows/table_replica.hpp"
 
@@ -92,6 +93,7 @@
     // The report in the store.
     rows::row_version report_version_ = rows::no_row;
     std::string current_report_;
+    rows::answer_time answer_time_;
     bool is_publishing_ = false;
     bool is_report_urgent_ = true;
     std::uint64_t published_ends_ = 0;
--- a/packages/gateway/customer_service.cpp
+++ b/packages/gateway/customer_service.cpp
@@ -17,7 +17,6 @@
 constexpr core::duration oldest_rules{5000};
 /// A process whose copy is older than this asks to be passed over.
 constexpr core::duration oldest_ready_copy{3000};
-constexpr core::duration write_timeout{700};
 /// Less time than this is not enough for a write.
 constexpr core::duration least_write_time{100};
 /// Writes are repeated until this much of the caller's time is left.
@@ -224,10 +223,16 @@
     if (!store_.is_reachable())
         return wait_for_store(write);
     auto const left = write->give_up_at - timers_.now();
-    auto const timeout = std::clamp(left, least_write_time, write_timeout);
+    auto const timeout =
+        std::clamp(left, least_write_time, answer_time_.timeout());
+    auto const sent_at = timers_.now();
     auto const& changes = write->changes;
     store_.commit(changes, timeout,
-                  [this, write](rows::commit_result const& result) {
+                  [this, write, sent_at](rows::commit_result const& result) {
+                      if (result.outcome == rows::commit_outcome::unknown)
+                          answer_time_.record_silence();
+                      else
+                          answer_time_.record(timers_.now() - sent_at);
                       receive(write, result);
                   });
 }
--- a/packages/gateway/customer_service.hpp
+++ b/packages/gateway/customer_service.hpp
@@ -4,6 +4,7 @@
 #include "gateway/customer_call.hpp"
 #include "gateway/job_directory.hpp"
 #include "gateway/rules_source.hpp"
+#include "rows/answer_time.hpp"
 #include "rows/monitored_store.hpp"
 #include "rows/table_replica.hpp"
 
@@ -56,6 +57,7 @@
     rules_source const& rules_;
     rows::table_replica const& work_;
     job_directory const& directory_;
+    rows::answer_time answer_time_;
     /// Writes that wait for the store to answer again.
     std::list<std::shared_ptr<pending_write>> waiting_;
     /// Writes that are sent again after a pause.
--- /dev/null
+++ b/packages/rows/answer_time.hpp
@@ -0,0 +1,31 @@
+#pragma once
+
+#include "core/clock.hpp"
+
+namespace sequoiaroute::rows {
+
+/// Estimates how long the store takes to answer, and so how long to wait.
+///
+/// The load that it answers: the store becomes fifty times as slow. Calls that
+/// are given up too early and sent again then add to the load that makes it
+/// slow; waiting long for an answer that was lost delays everything behind it.
+class answer_time
+{
+public:
+    /// Takes note of an answer.
+    void record(core::duration taken);
+
+    /// Takes note of a call that was given up.
+    void record_silence();
+
+    /// @return the recent time of an answer
+    core::duration typical() const { return typical_; }
+
+    /// @return how long to wait for the next answer
+    core::duration timeout() const;
+
+private:
+    core::duration typical_{5};
+};
+
+} // namespace sequoiaroute::rows
--- a/packages/rows/row_layout.cpp
+++ b/packages/rows/row_layout.cpp
@@ -18,6 +18,14 @@
             fmt::format("{}{}", prefix, id)};
 }
 
+/// Rows that entries write.
+row_key entry_row(std::string_view prefix, std::string_view id)
+{
+    return {std::string(work_table),
+            fmt::format("jobs-{:02}", spread(id, job_parts)),
+            fmt::format("{}{}", prefix, id)};
+}
+
 } // namespace
 
 row_key lease_row()
@@ -27,12 +35,12 @@
 
 row_key job_row(std::string_view job_id)
 {
-    return work_row(job_prefix, job_id);
+    return entry_row(job_prefix, job_id);
 }
 
 row_key cancel_row(std::string_view job_id)
 {
-    return work_row(cancel_prefix, job_id);
+    return entry_row(cancel_prefix, job_id);
 }
 
 row_key progress_row(std::string_view job_id)
--- a/packages/rows/row_layout.hpp
+++ b/packages/rows/row_layout.hpp
@@ -8,14 +8,16 @@
 /// Where the project keeps its rows. All rows that the decider writes share
 /// one part with its lease, so that each of its transactions can depend on the
 /// lease. Orders are spread over tables, because an agent follows a whole
-/// table; reports over parts, because a part takes few transactions a second.
+/// table; jobs and reports over parts, because a part takes one transaction
+/// after another, and few a second while the store is slow.
 namespace sequoiaroute::rows::layout {
 
 inline constexpr std::string_view work_table = "sequoiaroute-work";
 inline constexpr std::string_view work_part = "work";
 inline constexpr std::string_view reports_table = "sequoiaroute-reports";
 inline constexpr std::size_t order_tables = 16;
-inline constexpr std::size_t report_parts = 16;
+inline constexpr std::size_t report_parts = 64;
+inline constexpr std::size_t job_parts = 16;
 
 inline constexpr std::string_view job_prefix = "job/";
 inline constexpr std::string_view cancel_prefix = "cancel/";
--- a/packages/rows/table_replica.cpp
+++ b/packages/rows/table_replica.cpp
@@ -100,12 +100,13 @@
                       });
 }
 
-void table_replica::load_parts(std::vector<std::string> parts)
+void table_replica::load_parts(std::vector<std::string> const& parts)
 {
-    parts_to_load_ = std::move(parts);
-    if (parts_to_load_.empty())
+    parts_to_load_ = parts.size();
+    if (parts.empty())
         return finish_load();
-    load_page(std::string(parts_to_load_.back()), options_.key_prefix);
+    for (auto const& part : parts)
+        load_page(part, options_.key_prefix);
 }
 
 void table_replica::load_page(std::string const& part, std::string from)
@@ -116,24 +117,29 @@
         ++wanted.until->back();
     }
     std::weak_ptr<bool> const alive = alive_;
-    store_.read(std::move(wanted), [this, alive, attempt = attempt_,
-                                    part](page result) {
-        if (alive.expired() || !is_current(attempt))
-            return;
-        if (!result.is_ok)
-            return retry([this] { load(); });
-        std::string last;
-        for (auto& entry : result.rows) {
-            last = entry.key.key;
-            loading_.insert_or_assign(entry.key, std::move(entry));
-        }
-        if (result.has_more)
-            return load_page(part, last + '\0');
-        parts_to_load_.pop_back();
-        if (parts_to_load_.empty())
-            return finish_load();
-        load_page(std::string(parts_to_load_.back()), options_.key_prefix);
-    });
+    store_.read(std::move(wanted),
+                [this, alive, attempt = attempt_, part](page result) {
+                    if (!alive.expired() && is_current(attempt))
+                        receive_page(part, std::move(result));
+                });
+}
+
+void table_replica::receive_page(std::string const& part, page result)
+{
+    if (!result.is_ok) {
+        // Answers for other parts of this attempt no longer count.
+        ++attempt_;
+        return retry([this] { load(); });
+    }
+    std::string last;
+    for (auto& entry : result.rows) {
+        last = entry.key.key;
+        loading_.insert_or_assign(entry.key, std::move(entry));
+    }
+    if (result.has_more)
+        return load_page(part, last + '\0');
+    if (--parts_to_load_ == 0)
+        finish_load();
 }
 
 void table_replica::finish_load()
--- a/packages/rows/table_replica.hpp
+++ b/packages/rows/table_replica.hpp
@@ -70,8 +70,9 @@
 private:
     void load();
     void list_parts();
-    void load_parts(std::vector<std::string> parts);
+    void load_parts(std::vector<std::string> const& parts);
     void load_page(std::string const& part, std::string from);
+    void receive_page(std::string const& part, page result);
     void finish_load();
     void follow(core::duration wait);
     void receive(feed_page page);
@@ -93,7 +94,7 @@
     core::time_point store_time_read_at_{};
 
     // State of a reading of the whole table.
-    std::vector<std::string> parts_to_load_;
+    std::size_t parts_to_load_ = 0;
     std::map<row_key, row> loading_;
     row_version loading_version_ = no_row;
     std::unique_ptr<event::timer> retry_timer_;
--- a/packages/scheduler/commit_queue.cpp
+++ b/packages/scheduler/commit_queue.cpp
@@ -15,7 +15,6 @@
 /// one the lease itself.
 constexpr std::size_t entries_per_transaction = 96;
 constexpr std::size_t bytes_per_transaction = 600'000;
-constexpr core::duration commit_timeout{1000};
 constexpr core::duration resend_delay{120};
 
 std::size_t bytes_of(std::vector<rows::row_write> const& writes)
@@ -78,8 +77,6 @@
         }
     }
     if (change.is_retired) {
-        removals.push_back(rows::layout::job_row(change.job_id));
-        removals.push_back(rows::layout::cancel_row(change.job_id));
         removals.push_back(rows::layout::progress_row(change.job_id));
     } else {
         auto key = rows::layout::progress_row(change.job_id);
@@ -147,7 +144,8 @@
 void commit_queue::send()
 {
     std::weak_ptr<bool> const alive = alive_;
-    store_.commit(current_, commit_timeout,
+    sent_at_ = timers_.now();
+    store_.commit(current_, answer_time_.timeout(),
                   [this, alive](rows::commit_result const& result) {
                       if (!alive.expired())
                           receive(result);
@@ -156,6 +154,10 @@
 
 void commit_queue::receive(rows::commit_result const& result)
 {
+    if (result.outcome == rows::commit_outcome::unknown)
+        answer_time_.record_silence();
+    else
+        answer_time_.record(timers_.now() - sent_at_);
     switch (result.outcome) {
     case rows::commit_outcome::committed:
         return finish(result.version);
--- a/packages/scheduler/commit_queue.hpp
+++ b/packages/scheduler/commit_queue.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "event/timer_service.hpp"
+#include "rows/answer_time.hpp"
 #include "rows/row_store.hpp"
 #include "scheduler/open_job.hpp"
 
@@ -67,6 +68,9 @@
 
     core::time_point last_written_at() const { return last_written_at_; }
 
+    /// @return the recent time that a transaction took
+    core::duration typical_time() const { return answer_time_.typical(); }
+
 private:
     struct batch
     {
@@ -90,6 +94,8 @@
     rows::transaction current_;
     std::string current_lease_;
     bool in_flight_ = false;
+    rows::answer_time answer_time_;
+    core::time_point sent_at_{};
     bool is_releasing_ = false;
     core::time_point last_written_at_;
     std::unique_ptr<event::timer> retry_timer_;
--- a/packages/scheduler/decider_service.cpp
+++ b/packages/scheduler/decider_service.cpp
@@ -140,7 +140,8 @@
         if (core_ == nullptr)
             build_core_if_loaded();
         if (!is_stopped_ &&
-            timers_.now() - commits_->last_written_at() >= renew_period)
+            timers_.now() - commits_->last_written_at() >=
+                std::max(renew_period, 3 * commits_->typical_time()))
             commits_->renew();
         has_news_ = true;
         decide();
@@ -254,7 +255,7 @@
         [this] { decide_soon(); });
     reports_->start();
     for (std::size_t table = 0; table < rows::layout::order_tables; ++table)
-        load_orders(table);
+        load_orders(table, {});
 }
 
 void decider_service::resign(std::string_view reason)
@@ -267,22 +268,22 @@
     lease_changed_at_ = timers_.now();
 }
 
-void decider_service::load_orders(std::size_t table)
+void decider_service::load_orders(std::size_t table, std::string from)
 {
     std::weak_ptr<bool> const alive = alive_;
     auto const term_version = acquired_version_;
     store_.read(
-        {rows::layout::order_table(table),
-         std::string(rows::layout::work_part),
-         {},
-         std::nullopt},
-        [this, alive, table, term_version](rows::page const& page) {
+        {rows::layout::order_table(table), std::string(rows::layout::work_part),
+         from, std::nullopt},
+        [this, alive, table, from, term_version](rows::page const& page) {
             if (alive.expired() || term_version != acquired_version_ ||
                 commits_ == nullptr)
                 return;
             if (!page.is_ok) {
-                load_timers_[table] = timers_.after(
-                    load_retry, [this, table] { load_orders(table); });
+                load_timers_[table] =
+                    timers_.after(load_retry, [this, table, from] {
+                        load_orders(table, from);
+                    });
                 return;
             }
             for (auto const& row : page.rows) {
@@ -295,6 +296,8 @@
                                      {"fault", core::failure(order).message}});
                 }
             }
+            if (page.has_more)
+                return load_orders(table, page.rows.back().key.key + '\0');
             ++loaded_tables_;
             build_core_if_loaded();
         });
@@ -416,11 +419,45 @@
     has_news_ = false;
     if (auto rules = rules_(); rules != nullptr)
         core_->set_rules(std::move(rules));
-    auto const changes = core_->decide(current_moment());
+    auto changes = core_->decide(current_moment());
     if (changes.empty())
         return;
     log_changes(changes);
-    commits_->push(changes);
+    commits_->push(split_retired(std::move(changes)));
+}
+
+/// The rows that entries write are in other parts than the decider's, and have
+/// to go first: a job without progress would be taken for a new one.
+std::vector<job_change>
+decider_service::split_retired(std::vector<job_change> changes)
+{
+    std::vector<job_change> kept;
+    for (auto& change : changes) {
+        if (change.is_retired)
+            retire(std::move(change));
+        else
+            kept.push_back(std::move(change));
+    }
+    return kept;
+}
+
+void decider_service::retire(job_change change)
+{
+    rows::transaction removal;
+    removal.removals.push_back(rows::layout::job_row(change.job_id));
+    removal.removals.push_back(rows::layout::cancel_row(change.job_id));
+    std::weak_ptr<bool> const alive = alive_;
+    auto const term_version = acquired_version_;
+    store_.commit(std::move(removal), lease_timeout,
+                  [this, alive, term_version, change = std::move(change)](
+                      rows::commit_result const& result) {
+                      if (alive.expired() || commits_ == nullptr ||
+                          term_version != acquired_version_)
+                          return;
+                      // Otherwise the next decider retires the job.
+                      if (result.outcome == rows::commit_outcome::committed)
+                          commits_->push(std::span(&change, 1));
+                  });
 }
 
 moment decider_service::current_moment() const
--- a/packages/scheduler/decider_service.hpp
+++ b/packages/scheduler/decider_service.hpp
@@ -56,12 +56,14 @@
     void receive_lease(rows::commit_result const& result);
     void become_decider(rows::row_version version);
     void resign(std::string_view reason);
-    void load_orders(std::size_t table);
+    void load_orders(std::size_t table, std::string from);
     void receive_report(rows::row const& changed, bool is_from_loading);
     void build_core_if_loaded();
     void add_row(rows::row const& changed);
     void decide_soon();
     void decide();
+    std::vector<job_change> split_retired(std::vector<job_change> changes);
+    void retire(job_change change);
     moment current_moment() const;
 
     rows::row_store& store_;
