--- a/packages/gateway/customer_service.cpp
+++ b/packages/gateway/customer_service.cpp
@@ -19,6 +19,7 @@
 constexpr core::duration oldest_ready_copy{3000};
 /// Less time than this is not enough for a write.
 constexpr core::duration least_write_time{100};
+constexpr core::duration last_refusal_reserve{250};
 /// Writes are repeated until this much of the caller's time is left.
 constexpr core::duration answer_reserve{150};
 constexpr core::duration default_time_limit{2000};
@@ -246,11 +247,13 @@
     auto const left = write->give_up_at - timers_.now();
     if (!write->may_be_done && left > store_retry_after + least_write_time)
         return give_up(write);
-    if (left <= core::duration(0))
+    // Refused with some time left, the customer may still try elsewhere.
+    auto const wait = write->may_be_done ? left : left - last_refusal_reserve;
+    if (wait <= core::duration(0))
         return give_up(write);
     waiting_.push_back(write);
     std::weak_ptr<pending_write> const weak = write;
-    write->retry_timer = timers_.after(left, [this, weak] {
+    write->retry_timer = timers_.after(wait, [this, weak] {
         if (auto const expired = weak.lock()) {
             waiting_.remove(expired);
             give_up(expired);
--- a/packages/scheduler/group_builder.cpp
+++ b/packages/scheduler/group_builder.cpp
@@ -17,9 +17,10 @@
 constexpr core::duration room_patience{2000};
 /// How long a step avoids an agent on which a run of it failed.
 constexpr core::duration failed_agent_pause{6000};
-/// Work that an urgent job without a guarantee may cost others, in
-/// core-seconds; about a tenth of what such a job is worth.
-constexpr double urgent_budget = 300;
+/// Work of others that an urgent job without a guarantee may cost, in
+/// core-seconds: a fixed amount, and somewhat more than its own work.
+constexpr double urgent_budget_base = 300;
+constexpr double urgent_budget_factor = 1.25;
 /// What an accelerator counts in core-seconds.
 constexpr double cores_per_accelerator = 8;
 /// A checkpoint is never older than this while a task works.
@@ -35,6 +36,16 @@
            cores_per_accelerator * static_cast<double>(task.accelerators);
 }
 
+double urgent_budget(jobs::job_spec const& spec)
+{
+    double work = 0;
+    for (auto const& step : spec.steps) {
+        work += cores_of(step.task) * static_cast<double>(step.task_count) *
+                static_cast<double>(step.estimate.count()) / 1000;
+    }
+    return urgent_budget_base + urgent_budget_factor * work;
+}
+
 /// @return the estimated time of the longest chain of steps
 core::duration chain_estimate(jobs::job_spec const& spec)
 {
@@ -170,7 +181,7 @@
     if (is_guaranteed)
         group.preemption_budget = std::numeric_limits<double>::max();
     else if (group.priority == 0)
-        group.preemption_budget = urgent_budget;
+        group.preemption_budget = urgent_budget(job.submission.spec);
     result.tasks = std::move(tasks);
     result.order_class = group.priority > 0 ? 2 : (is_guaranteed ? 0 : 1);
     result.latest_start = group.priority > 0 ? latest_start(job) : job.seen_at;
