placement: Give fast workers to urgent gangs

Ruled out: the estimates that customers give, which are off by up to 90 %.

Change: run times of equal tasks are compared across workers; urgent groups take the fastest workers that fit, patient ones rather the slow ones.

--- a/packages/placement/placement_round.cpp
+++ b/packages/placement/placement_round.cpp
@@ -65,13 +65,16 @@
               room_member room)
 {
     auto const rest = worker.*room - group.task;
-    return std::tuple(worker.penalty, rest.accelerators, rest.millicores,
-                      worker.agent);
+    bool const is_urgent = group.priority == 0;
+    return std::tuple(worker.penalty, is_urgent ? worker.slowness : 0,
+                      rest.accelerators, is_urgent ? 0 : -worker.slowness,
+                      rest.millicores, worker.agent);
 }
 
 struct fit
 {
     std::vector<std::string> agents;
+    std::int32_t slowest = 0; ///< of the workers, for urgent groups
     std::int64_t leftover_accelerators = 0;
 };
 
@@ -92,6 +95,8 @@
         if (taken == 0)
             continue;
         result.agents.insert(result.agents.end(), taken, candidate->agent);
+        if (group.priority == 0)
+            result.slowest = std::max(result.slowest, candidate->slowness);
         result.leftover_accelerators +=
             (candidate->*room).accelerators -
             static_cast<std::int64_t>(taken) * group.task.accelerators;
@@ -373,9 +378,9 @@
             continue;
         bool const is_better =
             std::tuple(-static_cast<std::int64_t>(candidate.agents.size()),
-                       candidate.leftover_accelerators) <
+                       candidate.slowest, candidate.leftover_accelerators) <
             std::tuple(-static_cast<std::int64_t>(best.agents.size()),
-                       best.leftover_accelerators);
+                       best.slowest, best.leftover_accelerators);
         if (best.agents.empty() || is_better)
             best = std::move(candidate);
     }
--- a/packages/placement/placement_round.hpp
+++ b/packages/placement/placement_round.hpp
@@ -27,6 +27,9 @@
     bool is_accepting = true;
     /// Of two workers that fit alike, the one with less goes first.
     double penalty = 0;
+    /// Its run times in tenths relative to others; above 0 for slower ones.
+    /// Urgent tasks go to fast workers, patient ones rather to slow ones.
+    std::int32_t slowness = 0;
 };
 
 /// Tasks of one step that wait.
--- a/packages/scheduler/group_builder.cpp
+++ b/packages/scheduler/group_builder.cpp
@@ -303,7 +303,8 @@
 
 std::vector<placement::worker>
 collect_workers(worker_map const& workers, job_map const& jobs,
-                placement::worker_health const& health, core::time_point now,
+                placement::worker_health const& health,
+                placement::worker_speed const& speed, core::time_point now,
                 core::duration fresh_after)
 {
     std::map<std::string, std::size_t> positions;
@@ -322,6 +323,7 @@
                              now - view.heard_at < fresh_after &&
                              !health.is_avoided(agent, now);
         entry.penalty = health.penalty(agent, now);
+        entry.slowness = speed.slowness(agent);
         positions[agent] = result.size();
         result.push_back(std::move(entry));
     }
--- a/packages/scheduler/group_builder.hpp
+++ b/packages/scheduler/group_builder.hpp
@@ -3,6 +3,7 @@
 #include "jobs/rules.hpp"
 #include "placement/placement_round.hpp"
 #include "placement/worker_health.hpp"
+#include "placement/worker_speed.hpp"
 #include "scheduler/open_job.hpp"
 #include "scheduler/worker_view.hpp"
 
@@ -52,10 +53,12 @@
 /// @param workers the workers that have reported
 /// @param jobs the jobs whose runs take room
 /// @param health which workers to avoid
+/// @param speed how fast workers are
 /// @param fresh_after workers heard before it take no new runs
 std::vector<placement::worker>
 collect_workers(worker_map const& workers, job_map const& jobs,
-                placement::worker_health const& health, core::time_point now,
+                placement::worker_health const& health,
+                placement::worker_speed const& speed, core::time_point now,
                 core::duration fresh_after);
 
 /// @return whether a run stands still although its worker reports
--- a/packages/scheduler/open_job.hpp
+++ b/packages/scheduler/open_job.hpp
@@ -28,6 +28,7 @@
 {
     jobs::run_order order;
     jobs::resources task;
+    core::time_point ordered_at{};
     /// First seen at work, if it was.
     std::optional<core::time_point> seen_running_at;
     std::int32_t first_percent = 0; ///< when it was first seen
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -3,6 +3,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <fmt/format.h>
+
 namespace sequoiaroute::scheduler {
 
 namespace {
@@ -129,6 +131,7 @@
     assignment run;
     run.task = step_of(job, task).task;
     run.percent_changed_at = now;
+    run.ordered_at = now;
     run.order = std::move(order);
     job.assignments.insert_or_assign(run.order.run.task, std::move(run));
 }
@@ -145,8 +148,10 @@
 {
     auto const agent = report.agent;
     auto& view = workers_[agent];
-    if (view.report.worker.executor != report.worker.executor)
+    if (view.report.worker.executor != report.worker.executor) {
         health_.forget(agent);
+        speed_.forget(agent);
+    }
     view.report = std::move(report);
     view.heard_at = now;
     observe_running(view.report, now);
@@ -205,6 +210,8 @@
                              core::time_point now)
 {
     auto const order = run->second.order;
+    if (end == jobs::run_end::done)
+        record_speed(job, run->second, now);
     job.assignments.erase(run);
     change_of(job).orders.push_back(
         {order_change::kind::remove, order, std::string(jobs::name(end))});
@@ -230,6 +237,18 @@
     break_gang(job, order.run, end, now);
 }
 
+void scheduler_core::record_speed(open_job const& job, assignment const& run,
+                                  core::time_point now)
+{
+    auto const& task = run.order.run.task;
+    // The members of a gang end together, and a run from a checkpoint has less
+    // to do; neither tells how fast its worker is.
+    if (step_of(job, task).is_gang || !run.order.checkpoint.empty())
+        return;
+    speed_.record(run.order.agent, fmt::format("{}.{}", task.job_id, task.step),
+                  now - run.ordered_at);
+}
+
 void scheduler_core::mark_done(open_job& job, jobs::task_id const& task)
 {
     auto const& step = step_of(job, task);
@@ -460,9 +479,10 @@
     running_groups.reserve(running.size());
     for (auto const& entry : running)
         running_groups.push_back(entry.group);
-    auto const result = placement::run_round(
-        collect_workers(workers_, jobs_, health_, now, limits_.report_fresh),
-        waiting_groups, running_groups);
+    auto const result =
+        placement::run_round(collect_workers(workers_, jobs_, health_, speed_,
+                                             now, limits_.report_fresh),
+                             waiting_groups, running_groups);
     for (auto const& placed : result.placed) {
         auto const& tasks = waiting[placed.group].tasks;
         auto& job = jobs_.at(tasks[0].job_id);
@@ -497,6 +517,7 @@
     assignment started;
     started.task = step_of(job, task).task;
     started.percent_changed_at = now;
+    started.ordered_at = now;
     started.order = {agent,
                      workers_.at(agent).report.worker.executor,
                      {task, run},
--- a/packages/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/scheduler_core.hpp
@@ -83,6 +83,8 @@
                  std::string const& checkpoint, core::time_point now);
     void record_failure(open_job& job, jobs::run_order const& order,
                         core::time_point now);
+    void record_speed(open_job const& job, assignment const& run,
+                      core::time_point now);
     void mark_done(open_job& job, jobs::task_id const& task);
     void break_gang(open_job& job, jobs::run_id const& ended, jobs::run_end end,
                     core::time_point now);
@@ -108,6 +110,7 @@
     job_map jobs_;
     worker_map workers_;
     placement::worker_health health_;
+    placement::worker_speed speed_;
     std::vector<job_change> changes_;
     std::map<std::string, std::size_t> change_positions_;
 };
--- a/tests/placement/placement_round_test.cpp
+++ b/tests/placement/placement_round_test.cpp
@@ -1,5 +1,6 @@
 #include "placement/placement_round.hpp"
 #include "placement/worker_health.hpp"
+#include "placement/worker_speed.hpp"
 
 #include <gtest/gtest.h>
 
@@ -152,6 +153,42 @@
     EXPECT_EQ(result.placed[0].agents, (agents{"b"}));
 }
 
+// Load: an urgent gang meets fast and slow workers. Guards against a gang that
+// is late because one member is slow.
+TEST(placement_round, gives_fast_workers_to_urgent_gangs)
+{
+    std::vector<worker> workers{
+        make_worker("slow", "r1", 4), make_worker("fast", "r1", 8),
+        make_worker("slower", "r2", 8), make_worker("fast2", "r2", 8)};
+    workers[0].slowness = 2;
+    workers[2].slowness = 2;
+    auto gang = make_group(2, 4);
+    gang.is_gang = true;
+    gang.priority = 0;
+    EXPECT_EQ(fit_group(workers, gang, &worker::free),
+              (agents{"fast", "fast"}));
+    gang.priority = 1;
+    gang.count = 1;
+    EXPECT_EQ(fit_group(workers, gang, &worker::free), (agents{"slow"}));
+}
+
+TEST(worker_speed, compares_equal_tasks)
+{
+    worker_speed speed;
+    for (int round = 0; round < 6; ++round) {
+        auto const group = "job-" + std::to_string(round);
+        speed.record("a", group, 2000ms);
+        speed.record("b", group, 2050ms);
+        speed.record("c", group, 1950ms);
+        speed.record("slow", group, 2600ms);
+    }
+    EXPECT_GT(speed.slowness("slow"), 0);
+    EXPECT_EQ(speed.slowness("a"), 0);
+    EXPECT_EQ(speed.slowness("unknown"), 0);
+    speed.forget("slow");
+    EXPECT_EQ(speed.slowness("slow"), 0);
+}
+
 TEST(worker_health, avoids_a_worker_that_fails_several_jobs)
 {
     worker_health health;
