gateway: Pass calls on to another entry while the store refuses this one

Ruled out: direct writes by other machines on behalf of an entry without its own check of keys, since only the other entry's rules are current.

Change: entries register in the store and pass calls on, once, while the store does not answer them or their rules are old; an open outcome stays open. An entry that the store refuses is not ready at once.

--- /dev/null
+++ b/packages/gateway/call_codec.cpp
@@ -0,0 +1,80 @@
+#include "gateway/call_codec.hpp"
+
+#include "core/codec.hpp"
+#include "jobs/row_codec.hpp"
+
+namespace sequoiaroute::gateway {
+
+namespace {
+
+using core::json;
+
+template <class Value, class Convert>
+core::result<Value> decode(std::string_view text, Convert convert)
+{
+    try {
+        return convert(json::parse(text));
+    } catch (json::exception const& exception) {
+        return core::error{core::result_code::bad_request, exception.what()};
+    }
+}
+
+} // namespace
+
+std::string encode(customer_call const& call)
+{
+    json document{{"kind", static_cast<int>(call.kind)},
+                  {"host", call.host},
+                  {"path", call.path},
+                  {"key", call.key},
+                  {"time_limit_ms", call.time_limit.count()}};
+    if (call.spec) {
+        jobs::submission carrier;
+        carrier.spec = *call.spec;
+        document["job"] = jobs::encode(carrier);
+    }
+    return document.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+core::result<customer_call> decode_call(std::string_view text)
+{
+    return decode<customer_call>(text, [](json const& document) {
+        customer_call call;
+        call.kind = static_cast<call_kind>(document.at("kind").get<int>());
+        call.host = document.at("host");
+        call.path = document.at("path");
+        call.key = document.at("key");
+        call.time_limit = core::duration(document.at("time_limit_ms"));
+        if (auto const job = document.find("job"); job != document.end()) {
+            auto carrier = jobs::decode_submission(job->get<std::string>());
+            if (core::is_ok(carrier))
+                call.spec = core::value(std::move(carrier)).spec;
+        }
+        return call;
+    });
+}
+
+std::string encode(customer_reply const& reply)
+{
+    return json{{"outcome", static_cast<int>(reply.outcome)},
+                {"state", static_cast<int>(reply.state)},
+                {"pending", reply.pending},
+                {"retry_after_ms", reply.retry_after.count()}}
+        .dump();
+}
+
+core::result<customer_reply> decode_reply(std::string_view text)
+{
+    return decode<customer_reply>(text, [](json const& document) {
+        customer_reply reply;
+        reply.outcome =
+            static_cast<call_outcome>(document.at("outcome").get<int>());
+        reply.state =
+            static_cast<jobs::job_state>(document.at("state").get<int>());
+        reply.pending = document.at("pending");
+        reply.retry_after = core::duration(document.at("retry_after_ms"));
+        return reply;
+    });
+}
+
+} // namespace sequoiaroute::gateway
--- a/packages/gateway/customer_service.cpp
+++ b/packages/gateway/customer_service.cpp
@@ -86,20 +86,39 @@
                                    event::timer_service& timers,
                                    rules_source const& rules,
                                    rows::table_replica const& work,
-                                   job_directory const& directory)
+                                   job_directory const& directory,
+                                   call_relay& relay)
     : store_(store), timers_(timers), rules_(rules), work_(work),
-      directory_(directory)
+      directory_(directory), relay_(relay)
 {
     store_.on_return([this] { resume_waiting(); });
 }
 
 bool customer_service::is_ready() const
 {
-    return rules_.current() != nullptr && rules_.age() < oldest_ready_copy &&
-           work_.is_loaded() && work_.age() < oldest_ready_copy;
+    return store_.is_reachable() && rules_.current() != nullptr &&
+           rules_.age() < oldest_ready_copy && work_.is_loaded() &&
+           work_.age() < oldest_ready_copy;
 }
 
 void customer_service::handle(customer_call call, customer_responder respond)
+{
+    bool const is_current = rules_.current() != nullptr &&
+                            rules_.age() < oldest_rules && work_.is_loaded();
+    if (store_.is_reachable() && is_current)
+        return handle_here(std::move(call), std::move(respond));
+    // The store may serve other entries, and their rules are newer.
+    relay_.relay(call, [this, call, respond = std::move(respond)](
+                           std::optional<customer_reply> const& reply) {
+        if (reply)
+            respond(*reply);
+        else
+            handle_here(call, respond);
+    });
+}
+
+void customer_service::handle_here(customer_call call,
+                                   customer_responder respond)
 {
     auto const rules = rules_.current();
     if (rules == nullptr || rules_.age() > oldest_rules || !work_.is_loaded()) {
--- a/packages/gateway/customer_service.hpp
+++ b/packages/gateway/customer_service.hpp
@@ -3,6 +3,7 @@
 #include "event/timer_service.hpp"
 #include "gateway/customer_call.hpp"
 #include "gateway/job_directory.hpp"
+#include "gateway/peer_relay.hpp"
 #include "gateway/rules_source.hpp"
 #include "rows/answer_time.hpp"
 #include "rows/monitored_store.hpp"
@@ -24,15 +25,20 @@
     /// @param rules the rules in force
     /// @param work the copy of the work table
     /// @param directory what that copy says of jobs
+    /// @param relay passes calls to other entries
     customer_service(rows::monitored_store& store, event::timer_service& timers,
                      rules_source const& rules, rows::table_replica const& work,
-                     job_directory const& directory);
+                     job_directory const& directory, call_relay& relay);
 
     /// Answers a call.
     /// @param call the call
     /// @param respond receives the answer once
     void handle(customer_call call, customer_responder respond);
 
+    /// Answers a call that another entry has passed on; it is not passed on
+    /// again.
+    void handle_here(customer_call call, customer_responder respond);
+
     /// @return whether calls can be served here
     bool is_ready() const;
 
@@ -57,6 +63,7 @@
     rules_source const& rules_;
     rows::table_replica const& work_;
     job_directory const& directory_;
+    call_relay& relay_;
     rows::answer_time answer_time_;
     /// Writes that wait for the store to answer again.
     std::list<std::shared_ptr<pending_write>> waiting_;
--- a/packages/programs/schedule_entry.cpp
+++ b/packages/programs/schedule_entry.cpp
@@ -5,8 +5,10 @@
 #include "customer_server.hpp"
 #include "event/event_loop.hpp"
 #include "event/evhttp_client.hpp"
+#include "gateway/call_codec.hpp"
 #include "gateway/customer_service.hpp"
 #include "gateway/job_directory.hpp"
+#include "gateway/peer_relay.hpp"
 #include "jobs/lease_timing.hpp"
 #include "rows/monitored_store.hpp"
 #include "rows/row_layout.hpp"
@@ -37,6 +39,7 @@
         {"process", "node", setting_type::text, {}, true},
         {"listen", "customers", setting_type::address, {}, true},
         {"listen", "readiness", setting_type::address, {}, true},
+        {"listen", "entries", setting_type::address, {}, true},
         {"store", "address", setting_type::address, {}, true},
         {"bounds", "lease", setting_type::time, "6s", false},
         {"bounds", "stop", setting_type::time, "1s", false},
@@ -75,7 +78,8 @@
                     directory_.observe(changed);
                     decider_.observe(changed);
                 }),
-          customers_(store_, *loop_, rules_, work_, directory_),
+          relay_(store_, *loop_, client_, settings_.text("listen.entries")),
+          customers_(store_, *loop_, rules_, work_, directory_, relay_),
           decider_(store_, *loop_, work_, [this] { return rules_.current(); },
                    {settings_.text("process.node"), limits_from(settings_)})
     {
@@ -96,6 +100,13 @@
             adapter::create_readiness_server(
                 *loop_, settings_.text("listen.readiness"),
                 [this] { return !is_stopping_ && customers_.is_ready(); }));
+        SEQUOIA_TRY_INTO(relay_server_,
+                         event::http_server::create(
+                             *loop_, settings_.text("listen.entries"), {},
+                             [this](event::http_request const& request,
+                                    event::http_responder const& respond) {
+                                 serve_relayed(request, respond);
+                             }));
         auto const terminate =
             loop_->on_signal(SIGTERM, [this] { begin_stop(); });
         auto const interrupt =
@@ -106,9 +117,11 @@
         });
         store_.on_return([this] {
             rules_.restart();
+            relay_.restart();
             work_.restart();
         });
         rules_.start();
+        relay_.start();
         work_.start();
         decider_.start();
         core::log_event("process_started",
@@ -119,6 +132,20 @@
     }
 
 private:
+    /// Answers a call that another entry has passed on.
+    void serve_relayed(event::http_request const& request,
+                       event::http_responder const& respond)
+    {
+        auto call = gateway::decode_call(request.body);
+        if (!core::is_ok(call))
+            return respond({400, {}, "{}", "application/json"});
+        customers_.handle_here(
+            core::value(std::move(call)),
+            [respond](gateway::customer_reply const& reply) {
+                respond({200, {}, gateway::encode(reply), "application/json"});
+            });
+    }
+
     void begin_stop()
     {
         if (is_stopping_)
@@ -152,10 +179,12 @@
     adapter::store_rules rules_;
     gateway::job_directory directory_;
     rows::table_replica work_;
+    gateway::peer_relay relay_;
     gateway::customer_service customers_;
     scheduler::decider_service decider_;
     std::unique_ptr<adapter::customer_server> customer_server_;
     std::unique_ptr<event::http_server> readiness_server_;
+    std::unique_ptr<event::http_server> relay_server_;
     std::unique_ptr<event::timer> stop_timer_;
     std::unique_ptr<event::timer> limit_timer_;
     std::unique_ptr<event::timer> idle_timer_;
--- a/tests/gateway/customer_service_test.cpp
+++ b/tests/gateway/customer_service_test.cpp
@@ -1,3 +1,4 @@
+#include "gateway/call_codec.hpp"
 #include "gateway/customer_service.hpp"
 
 #include "jobs/row_codec.hpp"
@@ -25,6 +26,20 @@
     core::duration known_age{0};
 };
 
+/// Another entry, which answers at once if the test lets it.
+class fake_relay final : public call_relay
+{
+public:
+    void relay(customer_call const& call, callback done) override
+    {
+        calls.push_back(call);
+        done(reply);
+    }
+
+    std::vector<customer_call> calls;
+    std::optional<customer_reply> reply;
+};
+
 class customer_service_test : public testing::Test
 {
 public:
@@ -34,7 +49,7 @@
               store, timers,
               {std::string(rows::layout::work_table), 500ms, 0ms, {}},
               [this](rows::row const& changed) { directory.observe(changed); }),
-          service(monitored, timers, rules, work, directory)
+          service(monitored, timers, rules, work, directory, relay)
     {
         jobs::rules known;
         known.queues.resize(1);
@@ -85,6 +100,7 @@
     rows::monitored_store monitored;
     fixed_rules rules;
     job_directory directory;
+    fake_relay relay;
     rows::table_replica work;
     customer_service service;
 };
@@ -130,6 +146,41 @@
     EXPECT_EQ(submit("j1"), call_outcome::not_accepted);
 }
 
+// Load: the store refuses this entry for 9 s and serves the others. Guards
+// against customers who are turned away although another entry could serve
+// them, and against rules that this entry cannot know.
+TEST_F(customer_service_test, passes_calls_on_while_the_store_refuses_it)
+{
+    store.next_commits = memory_row_store::fault::refused;
+    store.reads = memory_row_store::fault::refused;
+    EXPECT_EQ(submit("first"), call_outcome::not_accepted);
+    relay.reply.emplace();
+    relay.reply->outcome = call_outcome::accepted;
+    EXPECT_EQ(submit("second"), call_outcome::accepted);
+    ASSERT_FALSE(relay.calls.empty());
+    auto const decoded = decode_call(encode(relay.calls.back()));
+    ASSERT_TRUE(core::is_ok(decoded));
+    EXPECT_EQ(core::value(decoded).path, "/q/second");
+    EXPECT_TRUE(core::value(decoded).spec.has_value());
+    EXPECT_FALSE(service.is_ready());
+}
+
+// Guards against calls that two entries pass to each other without end.
+TEST_F(customer_service_test, answers_relayed_calls_itself)
+{
+    store.next_commits = memory_row_store::fault::refused;
+    store.reads = memory_row_store::fault::refused;
+    submit("first");
+    auto const passed_on = relay.calls.size();
+    std::optional<customer_reply> received;
+    service.handle_here(make_call(call_kind::submit, "/q/second"),
+                        [&](customer_reply const& got) { received = got; });
+    timers.advance(20ms);
+    ASSERT_TRUE(received);
+    EXPECT_EQ(received->outcome, call_outcome::not_accepted);
+    EXPECT_EQ(relay.calls.size(), passed_on);
+}
+
 // Load: the store has gone silent and customers hand in jobs. Guards against
 // writes whose outcome nobody knows.
 TEST_F(customer_service_test, sends_no_write_to_a_silent_store)
