metrics: Serve counters and histograms, and explain a job from the logs

Cause: on-call engineers have only logs and metrics; the new path had neither a metrics address nor a way from an id to its events.

Ruled out: counters of our own beside the log's events; each event is counted where it is logged. The library's own HTTP server, which brings threads.

Change: prometheus-cpp's registry and text format on the metrics address; histograms of store calls, customers' calls, waits, orders and rounds; sequoiaroute explain ID FILE... prints the events of a job in order and names what is missing.

--- a/packages/agents/agent_service.cpp
+++ b/packages/agents/agent_service.cpp
@@ -2,6 +2,7 @@
 
 #include "core/event_log.hpp"
 #include "jobs/row_codec.hpp"
+#include "metrics/metrics.hpp"
 #include "rows/row_layout.hpp"
 
 #include <algorithm>
@@ -169,9 +170,15 @@
 void agent_service::send(run_book::action const& action)
 {
     std::weak_ptr<bool> const alive = alive_;
-    auto const receive = [this, alive, action](order_reply const& reply) {
+    auto const sent_at = timers_.now();
+    auto const receive = [this, alive, action,
+                          sent_at](order_reply const& reply) {
         if (alive.expired())
             return;
+        metrics::observe(metrics::stage::run_order,
+                         reply.outcome == order_outcome::done ? "done"
+                                                              : "other",
+                         timers_.now() - sent_at);
         if (reply.clock_ms)
             note_clock(*reply.clock_ms);
         core::log_event(action.what == run_book::action::kind::start
--- a/packages/core/event_log.cpp
+++ b/packages/core/event_log.cpp
@@ -26,6 +26,7 @@
         std::chrono::steady_clock::now();
     std::int64_t dropped = 0;
     std::int64_t reported_dropped = 0;
+    std::map<std::string, std::int64_t, std::less<>> counts;
 };
 
 log_state& state()
@@ -92,6 +93,11 @@
 {
     auto& log = state();
     std::lock_guard const lock(log.mutex);
+    auto const counted = log.counts.find(event);
+    if (counted == log.counts.end())
+        log.counts.emplace(event, 1);
+    else
+        ++counted->second;
     if (!take_token(log) || !write_line(format_line(log.node, event, fields))) {
         ++log.dropped;
         return;
@@ -104,6 +110,13 @@
         log.reported_dropped = log.dropped;
 }
 
+std::map<std::string, std::int64_t> event_counts()
+{
+    auto& log = state();
+    std::lock_guard const lock(log.mutex);
+    return {log.counts.begin(), log.counts.end()};
+}
+
 std::int64_t dropped_event_lines()
 {
     auto& log = state();
--- a/packages/core/event_log.hpp
+++ b/packages/core/event_log.hpp
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <initializer_list>
+#include <map>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -36,6 +37,9 @@
 void log_event(std::string_view event,
                std::initializer_list<event_field> fields);
 
+/// @return how often each type of event was logged or dropped
+std::map<std::string, std::int64_t> event_counts();
+
 /// @return the number of lines that were dropped since the process started
 std::int64_t dropped_event_lines();
 
--- a/packages/gateway/customer_call.hpp
+++ b/packages/gateway/customer_call.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace sequoiaroute::gateway {
 
@@ -46,6 +47,9 @@
     unavailable,  ///< nothing was done; another process may be able to
 };
 
+/// @return the stable name of an outcome
+std::string_view name(call_outcome outcome);
+
 struct customer_reply
 {
     call_outcome outcome = call_outcome::unavailable;
--- a/packages/programs/command_line.cpp
+++ b/packages/programs/command_line.cpp
@@ -29,6 +29,10 @@
          "schedule --settings=FILE",
          "Runs an entry that keeps its jobs in the store of rows.",
          {"settings"}},
+        {"explain",
+         "explain ID FILE...",
+         "Tells the story of one job from the event logs of all processes.",
+         {}},
         {"rules",
          "rules check FILE | rules show | rules apply FILE --generation=N",
          "Checks, shows or applies the rule file. show prints the text to "
--- a/packages/programs/schedule_entry.cpp
+++ b/packages/programs/schedule_entry.cpp
@@ -10,6 +10,8 @@
 #include "gateway/job_directory.hpp"
 #include "gateway/peer_relay.hpp"
 #include "jobs/lease_timing.hpp"
+#include "metrics/metrics.hpp"
+#include "programs/metrics_server.hpp"
 #include "rows/monitored_store.hpp"
 #include "rows/row_layout.hpp"
 #include "rules_decoder.hpp"
@@ -40,6 +42,7 @@
         {"listen", "customers", setting_type::address, {}, true},
         {"listen", "readiness", setting_type::address, {}, true},
         {"listen", "entries", setting_type::address, {}, true},
+        {"listen", "metrics", setting_type::address, {}, true},
         {"store", "address", setting_type::address, {}, true},
         {"bounds", "lease", setting_type::time, "6s", false},
         {"bounds", "stop", setting_type::time, "1s", false},
@@ -92,8 +95,7 @@
                              *loop_, settings_.text("listen.customers"),
                              [this](gateway::customer_call call,
                                     gateway::customer_responder respond) {
-                                 customers_.handle(std::move(call),
-                                                   std::move(respond));
+                                 answer(std::move(call), std::move(respond));
                              }));
         SEQUOIA_TRY_INTO(
             readiness_server_,
@@ -107,6 +109,9 @@
                                     event::http_responder const& respond) {
                                  serve_relayed(request, respond);
                              }));
+        SEQUOIA_TRY_INTO(
+            metrics_server_,
+            create_metrics_server(*loop_, settings_.text("listen.metrics")));
         auto const terminate =
             loop_->on_signal(SIGTERM, [this] { begin_stop(); });
         auto const interrupt =
@@ -132,6 +137,20 @@
     }
 
 private:
+    void answer(gateway::customer_call call,
+                gateway::customer_responder respond)
+    {
+        auto const received_at = loop_->now();
+        customers_.handle(std::move(call),
+                          [this, received_at, respond = std::move(respond)](
+                              gateway::customer_reply const& reply) {
+                              metrics::observe(metrics::stage::customer_call,
+                                               gateway::name(reply.outcome),
+                                               loop_->now() - received_at);
+                              respond(reply);
+                          });
+    }
+
     /// Answers a call that another entry has passed on.
     void serve_relayed(event::http_request const& request,
                        event::http_responder const& respond)
@@ -185,6 +204,7 @@
     std::unique_ptr<adapter::customer_server> customer_server_;
     std::unique_ptr<event::http_server> readiness_server_;
     std::unique_ptr<event::http_server> relay_server_;
+    std::unique_ptr<event::http_server> metrics_server_;
     std::unique_ptr<event::timer> stop_timer_;
     std::unique_ptr<event::timer> limit_timer_;
     std::unique_ptr<event::timer> idle_timer_;
--- a/packages/programs/sequoiaroute.cpp
+++ b/packages/programs/sequoiaroute.cpp
@@ -4,6 +4,7 @@
 #include "programs/command_line.hpp"
 #include "programs/entry_process.hpp"
 #include "programs/entry_settings.hpp"
+#include "programs/explain_command.hpp"
 #include "programs/flags.hpp"
 #include "programs/schedule_entry.hpp"
 
@@ -92,6 +93,8 @@
         fmt::print("{}", help_text(line.command));
         return core::success();
     }
+    if (line.command == "explain")
+        return run_explain(line.operands);
     if (line.command == "schedule")
         return run_schedule_entry(absl::GetFlag(FLAGS_settings));
     return line.command == "serve" ? run_serve() : run_client(line);
--- a/packages/programs/store_agent.cpp
+++ b/packages/programs/store_agent.cpp
@@ -7,6 +7,7 @@
 #include "event/evhttp_client.hpp"
 #include "executor_client.hpp"
 #include "heartbeat_server.hpp"
+#include "programs/metrics_server.hpp"
 #include "store_client.hpp"
 
 #include <csignal>
@@ -22,6 +23,7 @@
         {"process", "node", setting_type::text, {}, true},
         {"process", "address", setting_type::text, {}, true},
         {"listen", "heartbeats", setting_type::address, {}, true},
+        {"listen", "metrics", setting_type::address, {}, true},
         {"executor", "address", setting_type::address, {}, true},
         {"store", "address", setting_type::address, {}, true},
         {"bounds", "lease", setting_type::time, "6s", false},
@@ -53,6 +55,9 @@
                                          message.sequence);
              },
              [&](std::string const& id) { agent.receive_goodbye(id); }}));
+    SEQUOIA_TRY_INTO(
+        auto const metrics_server,
+        create_metrics_server(*loop, settings.text("listen.metrics")));
     auto const end = [&] {
         core::log_event("stop_requested", {});
         loop->stop();
--- a/packages/scheduler/decider_service.cpp
+++ b/packages/scheduler/decider_service.cpp
@@ -2,6 +2,7 @@
 
 #include "core/event_log.hpp"
 #include "jobs/row_codec.hpp"
+#include "metrics/metrics.hpp"
 #include "rows/row_layout.hpp"
 
 #include <algorithm>
@@ -262,6 +263,7 @@
 {
     core::log_event("lease_lost", {{"reason", std::string(reason)}});
     core_.reset();
+    unordered_jobs_.clear();
     reports_.reset();
     commits_.reset();
     decide_timer_.reset();
@@ -369,6 +371,7 @@
             return;
         }
         log_job(core::value(job), changed.version);
+        unordered_jobs_.emplace(core::value(job).job_id, timers_.now());
         core_->add_submission(core::value(std::move(job)), timers_.now());
     } else if (key.starts_with(rows::layout::cancel_prefix)) {
         core_->cancel(key.substr(rows::layout::cancel_prefix.size()));
@@ -419,13 +422,37 @@
     has_news_ = false;
     if (auto rules = rules_(); rules != nullptr)
         core_->set_rules(std::move(rules));
+    auto const began_at = timers_.now();
     auto changes = core_->decide(current_moment());
+    metrics::observe(metrics::stage::decision,
+                     changes.empty() ? "unchanged" : "changed",
+                     timers_.now() - began_at);
     if (changes.empty())
         return;
     log_changes(changes);
+    observe_waits(changes);
     commits_->push(split_retired(std::move(changes)));
 }
 
+void decider_service::observe_waits(std::vector<job_change> const& changes)
+{
+    for (auto const& change : changes) {
+        auto const found = unordered_jobs_.find(change.job_id);
+        if (found == unordered_jobs_.end())
+            continue;
+        bool const is_ordered = std::any_of(
+            change.orders.begin(), change.orders.end(), [](auto const& order) {
+                return order.what == order_change::kind::start;
+            });
+        if (is_ordered) {
+            metrics::observe(metrics::stage::job_wait, "ordered",
+                             timers_.now() - found->second);
+        }
+        if (is_ordered || jobs::is_final(change.progress.state))
+            unordered_jobs_.erase(found);
+    }
+}
+
 /// The rows that entries write are in other parts than the decider's, and have
 /// to go first: a job without progress would be taken for a new one.
 std::vector<job_change>
--- a/packages/scheduler/decider_service.hpp
+++ b/packages/scheduler/decider_service.hpp
@@ -60,6 +60,7 @@
     void receive_report(rows::row const& changed, bool is_from_loading);
     void build_core_if_loaded();
     void add_row(rows::row const& changed);
+    void observe_waits(std::vector<job_change> const& changes);
     void decide_soon();
     void decide();
     std::vector<job_change> split_retired(std::vector<job_change> changes);
@@ -88,6 +89,8 @@
     std::vector<jobs::run_order> loaded_orders_;
     std::size_t loaded_tables_ = 0;
     std::unique_ptr<scheduler_core> core_;
+    /// Jobs without an order yet, and since when.
+    std::map<std::string, core::time_point> unordered_jobs_;
     bool has_news_ = false;
     std::int64_t wall_offset_ms_;
 
