--- a/packages/agents/agent_service.cpp
+++ b/packages/agents/agent_service.cpp
@@ -151,7 +151,7 @@
         core::log_event(is_new ? "executor_joined" : "executor_changed",
                         {{"executor", worker.executor.id},
                          {"born_ms", worker.executor.born_ms},
-                         {"state", static_cast<std::int64_t>(worker.state)},
+                         {"state", std::string(jobs::name(worker.state))},
                          {"remaining_ms", worker.remaining.count()}});
     }
     worker_ = std::move(worker);
@@ -185,7 +185,7 @@
                             ? "start_answered"
                             : "stop_answered",
                         {{"run", to_text(action.order.run)},
-                         {"outcome", static_cast<std::int64_t>(reply.outcome)},
+                         {"outcome", std::string(name(reply.outcome))},
                          {"reason", reply.reason}});
         book_.receive_answer(action, reply, timers_.now());
         act_timer_ = timers_.after(core::duration(0), [this] { act(); });
--- a/packages/agents/executor_runtime.hpp
+++ b/packages/agents/executor_runtime.hpp
@@ -7,6 +7,7 @@
 #include <functional>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace sequoiaroute::agents {
@@ -23,6 +24,9 @@
     unknown,        ///< no answer; it may be carried out later
 };
 
+/// @return the stable name of an outcome
+std::string_view name(order_outcome outcome);
+
 struct order_reply
 {
     order_outcome outcome = order_outcome::unknown;
--- a/packages/gateway/peer_relay.cpp
+++ b/packages/gateway/peer_relay.cpp
@@ -114,9 +114,9 @@
         return try_peer(std::move(current));
     }
     auto const& answer = core::value(decoded);
-    core::log_event("call_relayed",
-                    {{"peer", peer},
-                     {"outcome", static_cast<std::int64_t>(answer.outcome)}});
+    core::log_event(
+        "call_relayed",
+        {{"peer", peer}, {"outcome", std::string(name(answer.outcome))}});
     if (answer.outcome == call_outcome::unavailable ||
         answer.outcome == call_outcome::not_accepted)
         return try_peer(std::move(current));
--- a/packages/jobs/job_spec.hpp
+++ b/packages/jobs/job_spec.hpp
@@ -28,6 +28,9 @@
     bool is_speculative = false;
     /// The tasks run until the job is cancelled.
     bool is_long_running = false;
+    /// How many tasks of a long-running step may be away at the same time by
+    /// the system's own doing; 0 if the customer did not say.
+    std::int32_t allowed_absences = 0;
     /// A label that the worker must have; empty for any worker.
     std::string required_label;
     /// The rack of the data; elsewhere the tasks are slowed down.
--- a/packages/jobs/row_codec.cpp
+++ b/packages/jobs/row_codec.cpp
@@ -51,6 +51,8 @@
         document["speculative"] = true;
     if (step.is_long_running)
         document["long_running"] = true;
+    if (step.allowed_absences > 0)
+        document["allowed_absences"] = step.allowed_absences;
     if (!step.required_label.empty())
         document["label"] = step.required_label;
     if (!step.data_rack.empty())
@@ -72,6 +74,7 @@
     step.has_checkpoints = document.value("checkpoints", false);
     step.is_speculative = document.value("speculative", false);
     step.is_long_running = document.value("long_running", false);
+    step.allowed_absences = document.value("allowed_absences", 0);
     step.required_label = document.value("label", "");
     step.data_rack = document.value("data_rack", "");
     step.max_per_worker = document.value("max_per_worker", 0);
@@ -135,19 +138,6 @@
     return job_state::queued;
 }
 
-std::string_view name(worker_state state)
-{
-    switch (state) {
-    case worker_state::ready:
-        return "ready";
-    case worker_state::draining:
-        return "draining";
-    case worker_state::gone:
-        return "gone";
-    }
-    return "gone";
-}
-
 worker_state worker_state_from(std::string const& text)
 {
     if (text == "ready")
--- a/packages/jobs/worker_report.cpp
+++ b/packages/jobs/worker_report.cpp
@@ -21,6 +21,19 @@
 
 } // namespace
 
+std::string_view name(worker_state state)
+{
+    switch (state) {
+    case worker_state::ready:
+        return "ready";
+    case worker_state::draining:
+        return "draining";
+    case worker_state::gone:
+        return "gone";
+    }
+    return "gone";
+}
+
 std::string_view name(run_end end)
 {
     auto const* const found =
--- a/packages/jobs/worker_report.hpp
+++ b/packages/jobs/worker_report.hpp
@@ -28,6 +28,9 @@
     gone, ///< the executor has ended; nothing runs on it
 };
 
+/// @return the stable name of a state
+std::string_view name(worker_state state);
+
 /// What a worker offers, as its executor says.
 struct worker_description
 {
--- a/packages/scheduler/group_builder.cpp
+++ b/packages/scheduler/group_builder.cpp
@@ -154,6 +154,16 @@
     return waiting;
 }
 
+/// Covered urgent work goes first, then other urgent work and replacements of
+/// long-running tasks, whose users notice each second, then patient work.
+std::int64_t order_class_of(jobs::step_spec const& step,
+                            placement::waiting_group const& group)
+{
+    if (group.priority == 0)
+        return group.is_guaranteed ? 0 : 1;
+    return step.is_long_running ? 1 : 2;
+}
+
 waiting_tasks to_group(open_job const& job, step_key const& key,
                        std::vector<jobs::task_id> tasks, bool is_guaranteed,
                        core::time_point waiting_since, core::time_point now)
@@ -183,7 +193,7 @@
     else if (group.priority == 0)
         group.preemption_budget = urgent_budget(job.submission.spec);
     result.tasks = std::move(tasks);
-    result.order_class = group.priority > 0 ? 2 : (is_guaranteed ? 0 : 1);
+    result.order_class = order_class_of(step, group);
     result.latest_start = group.priority > 0 ? latest_start(job) : job.seen_at;
     return result;
 }
@@ -265,10 +275,10 @@
     for (auto const& [id, job] : jobs) {
         std::map<step_key, std::size_t> gangs;
         for (auto const& [task, run] : job.assignments) {
-            if (run.is_stopping())
-                continue;
             auto const& step =
                 job.submission.spec.steps[static_cast<std::size_t>(task.step)];
+            if (run.is_stopping() || step.allowed_absences > 0)
+                continue;
             step_key const key{task.occurrence, task.step};
             auto const known = gangs.find(key);
             if (!step.is_gang || known == gangs.end()) {
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -75,7 +75,10 @@
 core::duration estimate_remaining(open_job const& job, assignment const& run,
                                   core::time_point now)
 {
-    auto const estimate = step_of(job, run.order.run.task).estimate;
+    auto const& step = step_of(job, run.order.run.task);
+    if (step.is_long_running)
+        return core::duration(std::chrono::hours(1));
+    auto const estimate = step.estimate;
     auto const advance = run.percent - run.first_percent;
     if (!run.seen_running_at || advance < rate_percent)
         return estimate * (100 - run.percent) / 100;
--- a/tests/jobs/row_codec_test.cpp
+++ b/tests/jobs/row_codec_test.cpp
@@ -18,6 +18,7 @@
     step.has_checkpoints = true;
     step.is_speculative = true;
     step.is_long_running = true;
+    step.allowed_absences = 1;
     step.required_label = "a";
     step.data_rack = "r1-2";
     step.max_per_worker = 2;
@@ -47,6 +48,7 @@
     EXPECT_EQ(step.required_label, "a");
     EXPECT_EQ(step.data_rack, "r1-2");
     EXPECT_EQ(step.max_per_worker, 2);
+    EXPECT_EQ(step.allowed_absences, 1);
     EXPECT_EQ(core::value(decoded).spec.first_due_ms, 1'700'000'000'000);
 }
 
--- a/tests/scheduler/scheduler_core_test.cpp
+++ b/tests/scheduler/scheduler_core_test.cpp
@@ -306,6 +306,38 @@
     EXPECT_EQ(started[0].run.task.job_id, "urgent");
 }
 
+// Guards against a long-running task that goes down with its worker, since its
+// percent looks like work that is almost done, and against one that is stopped
+// for urgent work although none of its step may be away.
+TEST_F(scheduler_core_test, keeps_long_running_tasks_at_work)
+{
+    jobs::rules rules;
+    rules.guaranteed_accelerators["press"] = 8;
+    core_.set_rules(std::make_shared<jobs::rules const>(rules));
+    add_worker("a");
+    auto job = make_job("j", 1, 8);
+    job.spec.steps[0].is_long_running = true;
+    job.spec.steps[0].allowed_absences = 1;
+    core_.add_submission(job, now_);
+    auto const first = decide_starts();
+    report_running(first[0], 100);
+    add_job("urgent", 1, 8, true, 0);
+    EXPECT_TRUE(orders(decide(), stops).empty());
+    core_.cancel("urgent");
+    decide();
+    add_worker("b");
+    auto& leaving = reports_.at("a");
+    leaving.worker.state = jobs::worker_state::draining;
+    leaving.worker.remaining = 2s;
+    core_.receive(leaving, now_);
+    EXPECT_EQ(orders(decide(), stops).size(), 1U);
+    report_end(first[0], jobs::run_end::stopped);
+    EXPECT_EQ(decide_starts().at(0).agent, "b");
+    report_end({"b", {}, {{"j", 0, 0, 0}, 2}, "", "", false},
+               jobs::run_end::done);
+    EXPECT_EQ(decide_starts().at(0).run.run, 3);
+}
+
 TEST_F(scheduler_core_test, moves_work_off_a_worker_that_leaves)
 {
     add_worker("a");
