placement: Keep room for a part of an urgent group

Cause: an urgent group of single tasks that could not be placed whole kept no room at all.

Ruled out: a pause before stopped runs start again, which would leave room unused.

Change: such a group keeps room and takes room back task by task; the budget covers the sum.

--- a/packages/placement/placement_round.cpp
+++ b/packages/placement/placement_round.cpp
@@ -172,7 +172,7 @@
         rest.count -= agents.size();
         if (keep_room_soon_free(rest))
             return;
-        if (rest.preemption_budget > 0 && preempt(rest))
+        if (rest.preemption_budget > 0 && preempt_for(rest))
             return;
         if (rest.keeps_room)
             keep_best_room(rest);
@@ -191,20 +191,39 @@
     }
 
     /// Keeps room that is about to become free.
-    bool keep_room_soon_free(waiting_group const& group)
+    /// @param group the group; the tasks that have room are taken off its count
+    /// @return whether all of its tasks have room
+    bool keep_room_soon_free(waiting_group& group)
     {
         if (group.priority > 0 && !group.keeps_room)
             return false;
         auto const agents = fit_group(workers_, group, &worker::free_soon);
-        if (agents.size() < group.count)
-            return false;
         take(group, agents);
+        group.count -= agents.size();
+        return group.count == 0;
+    }
+
+    /// Stops running groups for a gang as a whole, or for as many tasks of
+    /// another group as possible.
+    /// @return whether all tasks will have room
+    bool preempt_for(waiting_group& group)
+    {
+        if (group.is_gang)
+            return preempt(group);
+        auto single = group;
+        single.count = 1;
+        while (group.count > 0) {
+            single.count = 1;
+            if (!preempt(single))
+                return false;
+            --group.count;
+        }
         return true;
     }
 
     /// Stops running groups so that the group fits; it is placed in a later
     /// round, when their ends are known.
-    bool preempt(waiting_group const& group)
+    bool preempt(waiting_group& group)
     {
         auto best_loss = std::numeric_limits<double>::max();
         std::vector<std::size_t> best;
@@ -225,6 +244,7 @@
             result_.stopped.push_back(victim);
             release(workers_, victim);
         }
+        group.preemption_budget -= best_loss;
         return keep_room_soon_free(group);
     }
 
--- a/tests/placement/placement_round_test.cpp
+++ b/tests/placement/placement_round_test.cpp
@@ -126,6 +126,25 @@
     EXPECT_TRUE(result.placed.empty());
 }
 
+// Load: an urgent job of single tasks needs more room than can be taken back.
+// Guards against runs that are stopped for it and started again in the room
+// that they have left, over and over.
+TEST(placement_round, keeps_room_for_a_part_of_an_urgent_group)
+{
+    std::vector<worker> workers{make_worker("a", "r1", 4),
+                                make_worker("b", "r1", 0)};
+    workers[0].free_soon.accelerators = 8;
+    auto urgent = make_group(3, 8);
+    urgent.priority = 0;
+    urgent.preemption_budget = std::numeric_limits<double>::max();
+    std::vector<waiting_group> const waiting{urgent, make_group(4, 1)};
+    std::vector<running_group> const running{
+        {{{"b", {1000, 1000, 8}}}, 1, 10}};
+    auto const result = run_round(workers, waiting, running);
+    EXPECT_TRUE(result.placed.empty());
+    EXPECT_EQ(result.stopped, (std::vector<std::size_t>{0}));
+}
+
 // Guards against an urgent job without a guarantee that costs more than it is
 // worth.
 TEST(placement_round, does_not_exceed_the_budget)
