rows: Space calls to a store that is down, and follow with fewer calls

Every write of the decider woke each entry's feed, several agents shared a table of orders, and agents tried every 150 ms while the store was down.

Ruled out: longer periods of reports, which would delay what is known of lost workers.

Change: entries that do not decide pause 120 ms after a change; 64 tables of orders; retries double up to 600 ms, probes every 200 ms; reports are gathered for 20 ms.

--- a/packages/agents/agent_service.cpp
+++ b/packages/agents/agent_service.cpp
@@ -17,6 +17,7 @@
 constexpr core::duration report_period{1200};
 constexpr core::duration hold_wait{1000};
 constexpr core::duration retry_delay{150};
+constexpr core::duration longest_publish_delay{600};
 constexpr core::duration look_period{60};
 /// Connections refused on this machine for so long: the executor has ended.
 constexpr core::duration gone_after{1500};
@@ -33,7 +34,8 @@
           {rows::layout::order_table_of(options_.agent), core::duration(2000),
            core::duration(0), rows::layout::order_prefix(options_.agent)},
           [this](rows::row const& changed) { receive_order(changed); },
-          [this] { serve(); })
+          [this] { serve(); }),
+      publish_delays_(retry_delay, longest_publish_delay)
 {
 }
 
@@ -396,7 +398,7 @@
         if (result.outcome != rows::commit_outcome::conflict) {
             // Paced, since refused calls count against the store's rates.
             is_publishing_ = true;
-            load_timer_ = timers_.after(retry_delay, [this] {
+            load_timer_ = timers_.after(publish_delays_.next(), [this] {
                 is_publishing_ = false;
                 publish_if_due();
             });
@@ -405,6 +407,7 @@
         }
         return;
     }
+    publish_delays_.reset();
     store_contact_at_ = started_at;
     published_at_ = timers_.now();
     published_ends_ = publishing_ends_;
--- a/packages/agents/agent_service.hpp
+++ b/packages/agents/agent_service.hpp
@@ -2,6 +2,7 @@
 
 #include "agents/executor_runtime.hpp"
 #include "agents/run_book.hpp"
+#include "core/backoff.hpp"
 #include "event/timer_service.hpp"
 #include "jobs/lease_timing.hpp"
 #include "jobs/worker_report.hpp"
@@ -94,6 +95,7 @@
     rows::row_version report_version_ = rows::no_row;
     std::string current_report_;
     rows::answer_time answer_time_;
+    core::backoff publish_delays_;
     bool is_publishing_ = false;
     bool is_report_urgent_ = true;
     std::uint64_t published_ends_ = 0;
--- a/packages/programs/schedule_entry.cpp
+++ b/packages/programs/schedule_entry.cpp
@@ -24,6 +24,9 @@
 
 namespace {
 
+/// Each answer of the store is paid for. An entry that does not decide needs
+/// the work table only to tell the states of jobs.
+constexpr core::duration follower_pause{120};
 /// How long the work table's feed may be held by the store.
 constexpr core::duration work_feed_wait{1000};
 /// The balancer needs two failed readiness checks, a second apart, to send no
@@ -80,6 +83,8 @@
                 [this](rows::row const& changed) {
                     directory_.observe(changed);
                     decider_.observe(changed);
+                    work_.set_pause(decider_.is_decider() ? core::duration(0)
+                                                          : follower_pause);
                 }),
           relay_(store_, *loop_, client_, settings_.text("listen.entries")),
           customers_(store_, *loop_, rules_, work_, directory_, relay_),
--- a/packages/rows/monitored_store.cpp
+++ b/packages/rows/monitored_store.cpp
@@ -7,6 +7,8 @@
 namespace {
 
 constexpr core::duration check_period{100};
+/// Each refused call is paid for.
+constexpr core::duration probe_period{200};
 /// The row that a probe asks for need not exist.
 constexpr std::string_view probe_table = "sequoiaroute-work";
 
@@ -50,9 +52,11 @@
 
 void monitored_store::probe()
 {
-    if (is_probing_)
+    auto const now = timers_.now();
+    if (is_probing_ || now - probed_at_ < probe_period)
         return;
     is_probing_ = true;
+    probed_at_ = now;
     read({std::string(probe_table), {}, {}, std::nullopt, 1},
          [this](page const&) { is_probing_ = false; });
 }
--- a/packages/rows/monitored_store.hpp
+++ b/packages/rows/monitored_store.hpp
@@ -52,6 +52,7 @@
     std::vector<std::function<void()>> return_callbacks_;
     bool was_reachable_ = true;
     bool is_probing_ = false;
+    core::time_point probed_at_{};
     core::time_point lost_at_{};
     std::unique_ptr<event::timer> check_timer_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- a/packages/rows/row_layout.hpp
+++ b/packages/rows/row_layout.hpp
@@ -15,7 +15,7 @@
 inline constexpr std::string_view work_table = "sequoiaroute-work";
 inline constexpr std::string_view work_part = "work";
 inline constexpr std::string_view reports_table = "sequoiaroute-reports";
-inline constexpr std::size_t order_tables = 16;
+inline constexpr std::size_t order_tables = 64;
 inline constexpr std::size_t report_parts = 64;
 inline constexpr std::size_t job_parts = 16;
 
--- a/packages/rows/table_replica.cpp
+++ b/packages/rows/table_replica.cpp
@@ -9,7 +9,8 @@
 
 /// Spacing of calls while the store does not answer; each refused call is
 /// paid for.
-constexpr core::duration retry_delay{150};
+constexpr core::duration first_retry_delay{150};
+constexpr core::duration longest_retry_delay{600};
 
 } // namespace
 
@@ -17,7 +18,8 @@
                              options settings, observer on_row,
                              std::function<void()> on_pass)
     : store_(store), timers_(timers), options_(std::move(settings)),
-      on_row_(std::move(on_row)), on_pass_(std::move(on_pass))
+      on_row_(std::move(on_row)), on_pass_(std::move(on_pass)),
+      retry_delays_(first_retry_delay, longest_retry_delay)
 {
 }
 
@@ -64,7 +66,7 @@
 
 void table_replica::retry(std::function<void()> step)
 {
-    retry_timer_ = timers_.after(retry_delay, std::move(step));
+    retry_timer_ = timers_.after(retry_delays_.next(), std::move(step));
 }
 
 void table_replica::load()
@@ -180,6 +182,7 @@
     bool const has_changes = !page.rows.empty();
     for (auto& changed : page.rows)
         apply(std::move(changed));
+    retry_delays_.reset();
     version_ = std::max(version_, page.version);
     confirmed_at_ = sent_at_;
     if (on_pass_)
--- a/packages/rows/table_replica.hpp
+++ b/packages/rows/table_replica.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/backoff.hpp"
 #include "event/timer_service.hpp"
 #include "rows/row_store.hpp"
 
@@ -47,6 +48,9 @@
     /// the store answers again after a silence.
     void restart();
 
+    /// Changes how long to wait after a change before asking again.
+    void set_pause(core::duration pause) { options_.pause = pause; }
+
     /// @return whether the table has been read whole once
     bool is_loaded() const { return confirmed_at_.has_value(); }
 
@@ -97,6 +101,7 @@
     std::size_t parts_to_load_ = 0;
     std::map<row_key, row> loading_;
     row_version loading_version_ = no_row;
+    core::backoff retry_delays_;
     std::unique_ptr<event::timer> retry_timer_;
     /// Answers to calls of earlier attempts are ignored.
     std::uint64_t attempt_ = 0;
--- a/packages/scheduler/decider_service.cpp
+++ b/packages/scheduler/decider_service.cpp
@@ -24,6 +24,8 @@
 constexpr core::duration fresh_copy{1500};
 /// Gathers changes that arrive close together into one round.
 constexpr core::duration round_delay{4};
+/// Gathers reports of several agents into one answer of the store.
+constexpr core::duration report_pause{20};
 constexpr core::duration lease_timeout{1000};
 constexpr core::duration load_retry{150};
 
@@ -250,7 +252,7 @@
         store_, timers_,
         rows::table_replica::options{std::string(rows::layout::reports_table),
                                      core::duration(1000),
-                                     round_delay,
+                                     report_pause,
                                      {}},
         [this](rows::row const& changed) { receive_report(changed, false); },
         [this] { decide_soon(); });
--- a/tests/placement/placement_round_test.cpp
+++ b/tests/placement/placement_round_test.cpp
@@ -138,8 +138,7 @@
     urgent.priority = 0;
     urgent.preemption_budget = std::numeric_limits<double>::max();
     std::vector<waiting_group> const waiting{urgent, make_group(4, 1)};
-    std::vector<running_group> const running{
-        {{{"b", {1000, 1000, 8}}}, 1, 10}};
+    std::vector<running_group> const running{{{{"b", {1000, 1000, 8}}}, 1, 10}};
     auto const result = run_round(workers, waiting, running);
     EXPECT_TRUE(result.placed.empty());
     EXPECT_EQ(result.stopped, (std::vector<std::size_t>{0}));
