scheduler: Take over later, and wait longer at a slow store

Change: a first silence doubles the next wait to 1 s; a takeover waits 1.1 s and six times the duration of a reading.

--- a/packages/rows/answer_time.cpp
+++ b/packages/rows/answer_time.cpp
@@ -11,7 +11,7 @@
 constexpr core::duration longest_typical{700};
 constexpr int timeout_factor = 4;
 /// An estimate after a silence, so that the next call waits longer.
-constexpr core::duration first_slow_estimate{125};
+constexpr core::duration first_slow_estimate{250};
 
 } // namespace
 
--- a/packages/scheduler/decider_service.cpp
+++ b/packages/scheduler/decider_service.cpp
@@ -16,10 +16,10 @@
 constexpr core::duration renew_period{300};
 /// Three renewals missed. A takeover is safe at any time, since each write
 /// depends on the lease row; waiting only avoids needless ones.
-constexpr core::duration takeover_after{900};
+constexpr core::duration takeover_after{1100};
 /// A slow store delays renewals too: so many times the duration of a call is
 /// waited in addition.
-constexpr int slow_store_factor = 4;
+constexpr int slow_store_factor = 6;
 /// A copy older than this cannot tell whether the lease was renewed.
 constexpr core::duration fresh_copy{1500};
 /// Gathers changes that arrive close together into one round.
