--- a/packages/core/codec.hpp
+++ b/packages/core/codec.hpp
@@ -29,6 +29,21 @@
 /// @return the document, or bad_request with the place of the fault
 result<json> parse_json(std::string_view text);
 
+/// Parses a JSON text and converts it.
+/// @tparam Value the type of the result
+/// @param text the text to parse
+/// @param convert makes the value of the document; may throw json::exception
+/// @return the value, or bad_request naming the field at fault
+template <class Value, class Convert>
+result<Value> decode_json(std::string_view text, Convert convert)
+{
+    try {
+        return convert(json::parse(text));
+    } catch (json::exception const& exception) {
+        return error{result_code::bad_request, exception.what()};
+    }
+}
+
 /// Converts a document into a typed message.
 /// @tparam Message a type with nlohmann conversions
 /// @param document the document to convert
--- a/packages/gateway/call_codec.cpp
+++ b/packages/gateway/call_codec.cpp
@@ -5,22 +5,8 @@
 
 namespace sequoiaroute::gateway {
 
-namespace {
-
 using core::json;
 
-template <class Value, class Convert>
-core::result<Value> decode(std::string_view text, Convert convert)
-{
-    try {
-        return convert(json::parse(text));
-    } catch (json::exception const& exception) {
-        return core::error{core::result_code::bad_request, exception.what()};
-    }
-}
-
-} // namespace
-
 std::string encode(customer_call const& call)
 {
     json document{{"kind", static_cast<int>(call.kind)},
@@ -38,7 +24,7 @@
 
 core::result<customer_call> decode_call(std::string_view text)
 {
-    return decode<customer_call>(text, [](json const& document) {
+    return core::decode_json<customer_call>(text, [](json const& document) {
         customer_call call;
         call.kind = static_cast<call_kind>(document.at("kind").get<int>());
         call.host = document.at("host");
@@ -65,7 +51,7 @@
 
 core::result<customer_reply> decode_reply(std::string_view text)
 {
-    return decode<customer_reply>(text, [](json const& document) {
+    return core::decode_json<customer_reply>(text, [](json const& document) {
         customer_reply reply;
         reply.outcome =
             static_cast<call_outcome>(document.at("outcome").get<int>());
--- a/packages/jobs/row_codec.cpp
+++ b/packages/jobs/row_codec.cpp
@@ -14,16 +14,6 @@
     return document.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
-template <class Value, class Convert>
-core::result<Value> decode(std::string_view text, Convert convert)
-{
-    try {
-        return convert(json::parse(text));
-    } catch (json::exception const& exception) {
-        return core::error{core::result_code::bad_request, exception.what()};
-    }
-}
-
 json to_json(resources const& value)
 {
     return {value.millicores, value.memory_mb, value.accelerators};
@@ -199,7 +189,7 @@
 
 core::result<submission> decode_submission(std::string_view text)
 {
-    return decode<submission>(text, [](json const& document) {
+    return core::decode_json<submission>(text, [](json const& document) {
         submission value;
         value.job_id = document.at("job");
         value.customer = document.at("customer");
@@ -235,7 +225,7 @@
 
 core::result<job_progress> decode_progress(std::string_view text)
 {
-    return decode<job_progress>(text, [](json const& document) {
+    return core::decode_json<job_progress>(text, [](json const& document) {
         job_progress value;
         value.state = state_from(document.at("state"));
         value.has_started = document.at("started");
@@ -267,7 +257,7 @@
 
 core::result<worker_report> decode_report(std::string_view text)
 {
-    return decode<worker_report>(text, [](json const& document) {
+    return core::decode_json<worker_report>(text, [](json const& document) {
         worker_report value;
         value.agent = document.at("agent");
         value.written_at = core::duration(document.at("written_at_ms"));
@@ -300,7 +290,7 @@
 
 core::result<run_order> decode_order(std::string_view text)
 {
-    return decode<run_order>(text, [](json const& document) {
+    return core::decode_json<run_order>(text, [](json const& document) {
         run_order value;
         value.agent = document.at("agent");
         value.executor = {document.at("executor"), document.at("born_ms")};
--- a/packages/scheduler/decider_service.cpp
+++ b/packages/scheduler/decider_service.cpp
@@ -272,7 +272,7 @@
     lease_changed_at_ = timers_.now();
 }
 
-void decider_service::load_orders(std::size_t table, std::string from)
+void decider_service::load_orders(std::size_t table, std::string const& from)
 {
     std::weak_ptr<bool> const alive = alive_;
     auto const term_version = acquired_version_;
--- a/packages/scheduler/decider_service.hpp
+++ b/packages/scheduler/decider_service.hpp
@@ -56,7 +56,7 @@
     void receive_lease(rows::commit_result const& result);
     void become_decider(rows::row_version version);
     void resign(std::string_view reason);
-    void load_orders(std::size_t table, std::string from);
+    void load_orders(std::size_t table, std::string const& from);
     void receive_report(rows::row const& changed, bool is_from_loading);
     void build_core_if_loaded();
     void add_row(rows::row const& changed);
