scheduler: Expect run times from earlier runs, and let late urgent work go last

One job late in the queue made all behind it late.

Ruled out: waiting for placement itself; a job with room is ordered 10 ms after its acceptance and started 20 ms later.

Change: run_time_estimator weighs the estimate against earlier runs of the queue by the variance of each; urgent groups whose objective is out of reach go after those that can meet theirs; the rest of a run is counted from the report that has its percent. scheduler_core is divided: change_list, run_end_recorder, job_tasks, and an index of runs by agent, so that a report costs by the runs of its worker. A job is logged as finished once, with its estimate at the start, and a new lease names its real previous holder.

--- a/packages/gateway/customer_service.cpp
+++ b/packages/gateway/customer_service.cpp
@@ -249,10 +249,8 @@
     auto const& changes = write->changes;
     store_.commit(changes, timeout,
                   [this, write, sent_at](rows::commit_result const& result) {
-                      if (result.outcome == rows::commit_outcome::unknown)
-                          answer_time_.record_silence();
-                      else
-                          answer_time_.record(timers_.now() - sent_at);
+                      answer_time_.record(result.outcome,
+                                          timers_.now() - sent_at);
                       receive(write, result);
                   });
 }
--- a/packages/jobs/job_spec.cpp
+++ b/packages/jobs/job_spec.cpp
@@ -1,9 +1,29 @@
 #include "jobs/job_spec.hpp"
 
+#include <algorithm>
+
 #include <fmt/format.h>
 
 namespace sequoiaroute::jobs {
 
+core::duration longest_chain(job_spec const& job,
+                             std::span<core::duration const> step_times)
+{
+    std::vector<core::duration> ends(job.steps.size(), core::duration(0));
+    core::duration longest{0};
+    for (std::size_t index = 0; index < job.steps.size(); ++index) {
+        core::duration begin{0};
+        for (auto const before : job.steps[index].after) {
+            auto const position = static_cast<std::size_t>(before);
+            if (position < index)
+                begin = std::max(begin, ends[position]);
+        }
+        ends[index] = begin + step_times[index];
+        longest = std::max(longest, ends[index]);
+    }
+    return longest;
+}
+
 std::string to_text(task_id const& task)
 {
     return fmt::format("{}.{}.{}.{}", task.job_id, task.occurrence, task.step,
--- a/packages/jobs/job_spec.hpp
+++ b/packages/jobs/job_spec.hpp
@@ -4,6 +4,7 @@
 #include "jobs/resources.hpp"
 
 #include <cstdint>
+#include <span>
 #include <string>
 #include <vector>
 
@@ -55,6 +56,12 @@
     std::int64_t occurrences() const { return is_repeated() ? repeats : 1; }
 };
 
+/// @param job the job
+/// @param step_times how long each step takes
+/// @return how long the longest chain of steps takes
+core::duration longest_chain(job_spec const& job,
+                             std::span<core::duration const> step_times);
+
 /// What the queue's rules say of a job at the time when it was accepted.
 struct queue_terms
 {
--- a/packages/rows/answer_time.cpp
+++ b/packages/rows/answer_time.cpp
@@ -30,6 +30,14 @@
     typical_ = std::clamp(typical_ * 2, first_slow_estimate, longest_typical);
 }
 
+void answer_time::record(commit_outcome outcome, core::duration taken)
+{
+    if (outcome == commit_outcome::unknown)
+        record_silence();
+    else
+        record(taken);
+}
+
 core::duration answer_time::timeout() const
 {
     return std::clamp(typical_ * timeout_factor, shortest_timeout,
--- a/packages/rows/answer_time.hpp
+++ b/packages/rows/answer_time.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/clock.hpp"
+#include "rows/row_store.hpp"
 
 namespace sequoiaroute::rows {
 
@@ -18,6 +19,11 @@
     /// Takes note of a call that was given up.
     void record_silence();
 
+    /// Takes note of how a commit went.
+    /// @param outcome how it went
+    /// @param taken how long the caller waited
+    void record(commit_outcome outcome, core::duration taken);
+
     /// @return the recent time of an answer
     core::duration typical() const { return typical_; }
 
--- a/packages/scheduler/commit_queue.cpp
+++ b/packages/scheduler/commit_queue.cpp
@@ -154,10 +154,7 @@
 
 void commit_queue::receive(rows::commit_result const& result)
 {
-    if (result.outcome == rows::commit_outcome::unknown)
-        answer_time_.record_silence();
-    else
-        answer_time_.record(timers_.now() - sent_at_);
+    answer_time_.record(result.outcome, timers_.now() - sent_at_);
     switch (result.outcome) {
     case rows::commit_outcome::committed:
         return finish(result.version);
--- a/packages/scheduler/decider_service.cpp
+++ b/packages/scheduler/decider_service.cpp
@@ -40,7 +40,9 @@
 {
     std::int64_t tasks = 0;
     std::int64_t accelerators = 0;
+    core::duration longest_estimate{0};
     for (auto const& step : job.spec.steps) {
+        longest_estimate = std::max(longest_estimate, step.estimate);
         tasks += step.task_count;
         accelerators += step.task_count * step.task.accelerators;
     }
@@ -53,6 +55,7 @@
          {"steps", static_cast<std::int64_t>(job.spec.steps.size())},
          {"tasks", tasks},
          {"accelerators", accelerators},
+         {"estimate_ms", longest_estimate.count()},
          {"version", static_cast<std::int64_t>(version)}});
 }
 
@@ -85,7 +88,7 @@
                 break;
             }
         }
-        if (!change.is_retired && jobs::is_final(change.progress.state)) {
+        if (change.has_just_finished) {
             core::log_event(
                 "job_finished",
                 {{"job", change.job_id},
@@ -199,6 +202,7 @@
     if (!wanted_ || wanted_over_ != seen_version_) {
         wanted_ = lease_record{options_.node, seen_lease_.term + 1, 0};
         wanted_over_ = seen_version_;
+        previous_holder_ = seen_lease_.holder;
     }
     rows::transaction claim;
     claim.conditions.push_back({rows::layout::lease_row(), wanted_over_});
@@ -230,7 +234,7 @@
     core::log_event(
         "lease_acquired",
         {{"term", wanted_->term},
-         {"previous", seen_lease_.holder},
+         {"previous", previous_holder_},
          {"unchanged_ms", (timers_.now() - lease_changed_at_).count()}});
     acquired_version_ = version;
     commits_ = std::make_unique<commit_queue>(
--- a/packages/scheduler/decider_service.hpp
+++ b/packages/scheduler/decider_service.hpp
@@ -78,6 +78,7 @@
     core::time_point lease_changed_at_{};
     std::optional<lease_record> wanted_;
     rows::row_version wanted_over_ = rows::no_row;
+    std::string previous_holder_; ///< of the lease that is wanted
     bool is_acquiring_ = false;
     bool is_checking_ = false;
     bool is_stopped_ = false;
--- a/packages/scheduler/group_builder.cpp
+++ b/packages/scheduler/group_builder.cpp
@@ -36,37 +36,23 @@
            cores_per_accelerator * static_cast<double>(task.accelerators);
 }
 
-double urgent_budget(jobs::job_spec const& spec)
+double urgent_budget(jobs::submission const& job,
+                     run_time_estimator const& run_times)
 {
     double work = 0;
-    for (auto const& step : spec.steps) {
+    for (auto const& step : job.spec.steps) {
+        auto const time = run_times.expected(job.terms.queue, step.estimate);
         work += cores_of(step.task) * static_cast<double>(step.task_count) *
-                static_cast<double>(step.estimate.count()) / 1000;
+                static_cast<double>(time.count()) / 1000;
     }
     return urgent_budget_base + urgent_budget_factor * work;
 }
 
-/// @return the estimated time of the longest chain of steps
-core::duration chain_estimate(jobs::job_spec const& spec)
+/// @return the last moment at which a job can begin and meet its objective
+core::time_point latest_start(open_job const& job,
+                              run_time_estimator const& run_times)
 {
-    std::vector<core::duration> ends(spec.steps.size(), core::duration(0));
-    core::duration longest{0};
-    for (std::size_t index = 0; index < spec.steps.size(); ++index) {
-        core::duration begin{0};
-        for (auto const before : spec.steps[index].after) {
-            auto const position = static_cast<std::size_t>(before);
-            if (position < index)
-                begin = std::max(begin, ends[position]);
-        }
-        ends[index] = begin + spec.steps[index].estimate;
-        longest = std::max(longest, ends[index]);
-    }
-    return longest;
-}
-
-core::time_point latest_start(open_job const& job)
-{
-    auto const chain = chain_estimate(job.submission.spec);
+    auto const chain = run_times.expected_chain(job.submission);
     auto const objective = job.submission.terms.objective_factor *
                            static_cast<double>(chain.count());
     return job.seen_at + job.submission.terms.objective_slack +
@@ -164,8 +150,18 @@
     return step.is_long_running ? 1 : 2;
 }
 
+/// What the groups of one job have in common.
+struct job_outlook
+{
+    bool is_guaranteed = false;
+    core::time_point latest_start{};
+    bool is_late = false; ///< its objective can no longer be met
+};
+
 waiting_tasks to_group(open_job const& job, step_key const& key,
-                       std::vector<jobs::task_id> tasks, bool is_guaranteed,
+                       std::vector<jobs::task_id> tasks,
+                       job_outlook const& outlook,
+                       run_time_estimator const& run_times,
                        core::time_point waiting_since, core::time_point now)
 {
     auto const& step =
@@ -185,16 +181,17 @@
     group.running_on = running_by_agent(job, key);
     group.avoided = avoided_agents(job, key, now);
     group.priority = job.submission.terms.priority;
-    group.is_guaranteed = is_guaranteed;
-    group.is_any_rack_allowed = is_guaranteed && waited > rack_patience;
+    group.is_guaranteed = outlook.is_guaranteed;
+    group.is_any_rack_allowed = outlook.is_guaranteed && waited > rack_patience;
     group.keeps_room = group.priority == 0 || waited > room_patience;
-    if (is_guaranteed)
+    if (outlook.is_guaranteed)
         group.preemption_budget = std::numeric_limits<double>::max();
     else if (group.priority == 0)
-        group.preemption_budget = urgent_budget(job.submission.spec);
+        group.preemption_budget = urgent_budget(job.submission, run_times);
     result.tasks = std::move(tasks);
     result.order_class = order_class_of(step, group);
-    result.latest_start = group.priority > 0 ? latest_start(job) : job.seen_at;
+    result.is_late = group.priority == 0 && outlook.is_late;
+    result.latest_start = outlook.latest_start;
     return result;
 }
 
@@ -228,14 +225,20 @@
     });
 }
 
-std::vector<waiting_tasks>
-collect_waiting(job_map& jobs, jobs::rules const& rules, core::time_point now)
+std::vector<waiting_tasks> collect_waiting(job_map& jobs,
+                                           jobs::rules const& rules,
+                                           run_time_estimator const& run_times,
+                                           core::time_point now)
 {
     auto const covered = guaranteed_jobs(jobs, rules);
     std::vector<waiting_tasks> groups;
     for (auto& [id, job] : jobs) {
         if (job.is_cancelled || jobs::is_final(job.progress.state))
             continue;
+        job_outlook outlook;
+        outlook.is_guaranteed = covered.contains(&job);
+        outlook.latest_start = latest_start(job, run_times);
+        outlook.is_late = now > outlook.latest_start;
         for (auto const& [number, occurrence] : job.progress.occurrences) {
             for (std::size_t index = 0; index < occurrence.steps.size();
                  ++index) {
@@ -255,16 +258,18 @@
                     tasks.size() == occurrence.steps[index].size();
                 if (step.is_gang && !is_whole)
                     continue;
-                groups.push_back(to_group(job, key, std::move(tasks),
-                                          covered.contains(&job), since, now));
+                groups.push_back(to_group(job, key, std::move(tasks), outlook,
+                                          run_times, since, now));
             }
         }
     }
-    std::stable_sort(
-        groups.begin(), groups.end(), [](auto const& left, auto const& right) {
-            return std::tuple(left.order_class, left.latest_start) <
-                   std::tuple(right.order_class, right.latest_start);
-        });
+    std::stable_sort(groups.begin(), groups.end(),
+                     [](auto const& left, auto const& right) {
+                         return std::tuple(left.order_class, left.is_late,
+                                           left.latest_start) <
+                                std::tuple(right.order_class, right.is_late,
+                                           right.latest_start);
+                     });
     return groups;
 }
 
--- a/packages/scheduler/group_builder.hpp
+++ b/packages/scheduler/group_builder.hpp
@@ -5,6 +5,7 @@
 #include "placement/worker_health.hpp"
 #include "placement/worker_speed.hpp"
 #include "scheduler/open_job.hpp"
+#include "scheduler/run_time_estimator.hpp"
 #include "scheduler/worker_view.hpp"
 
 #include <map>
@@ -24,6 +25,9 @@
     std::vector<jobs::task_id> tasks;
     /// Groups with smaller values go first.
     std::int64_t order_class = 0;
+    /// An urgent group whose objective is out of reach goes after those that
+    /// can still meet theirs.
+    bool is_late = false;
     core::time_point latest_start{};
 };
 
@@ -41,9 +45,12 @@
 /// Collects the tasks that wait, the most urgent first.
 /// @param jobs all open jobs; remembers since when a step waits
 /// @param rules the guarantees
+/// @param run_times how long tasks are expected to run
 /// @param now the current time
-std::vector<waiting_tasks>
-collect_waiting(job_map& jobs, jobs::rules const& rules, core::time_point now);
+std::vector<waiting_tasks> collect_waiting(job_map& jobs,
+                                           jobs::rules const& rules,
+                                           run_time_estimator const& run_times,
+                                           core::time_point now);
 
 /// Collects the runs that may be stopped in favour of others.
 std::vector<running_tasks> collect_running(job_map const& jobs,
--- a/packages/scheduler/open_job.hpp
+++ b/packages/scheduler/open_job.hpp
@@ -79,6 +79,7 @@
     jobs::job_progress progress;
     std::vector<order_change> orders;
     bool is_retired = false; ///< its rows are to be removed
+    bool has_just_finished = false;
 };
 
 } // namespace sequoiaroute::scheduler
--- /dev/null
+++ b/packages/scheduler/run_end_recorder.cpp
@@ -0,0 +1,118 @@
+#include "scheduler/run_end_recorder.hpp"
+
+#include "scheduler/job_tasks.hpp"
+
+#include <fmt/format.h>
+
+namespace sequoiaroute::scheduler {
+
+void run_end_recorder::record(open_job& job, assignments::iterator run,
+                              jobs::run_end end, std::string const& checkpoint,
+                              core::time_point now)
+{
+    auto const order = run->second.order;
+    if (end == jobs::run_end::done)
+        learn_run_time(job, run->second, now);
+    index_.remove(order.agent, order.run.task);
+    job.assignments.erase(run);
+    changes_.add_order(job, order_change::kind::remove, order, jobs::name(end));
+    auto* const task = find_task(job, order.run.task);
+    if (task == nullptr)
+        return;
+    if (!checkpoint.empty())
+        checkpoint_holder(job, order.run.task)->checkpoint = checkpoint;
+    switch (end) {
+    case jobs::run_end::done:
+        learned_.health.record_success(order.agent);
+        mark_done(job, order.run.task);
+        break;
+    case jobs::run_end::failed:
+        record_failure(job, order, now);
+        break;
+    case jobs::run_end::refused:
+        learned_.health.record_refusal(order.agent, now);
+        break;
+    default:
+        break;
+    }
+    break_gang(job, order.run, end, now);
+}
+
+void run_end_recorder::learn_run_time(open_job const& job,
+                                      assignment const& run,
+                                      core::time_point now)
+{
+    auto const& task = run.order.run.task;
+    auto const& step = step_of(job, task);
+    // A run from a checkpoint has less to do.
+    if (!run.order.checkpoint.empty())
+        return;
+    auto const taken = now - run.ordered_at;
+    learned_.run_times.record(job.submission.terms.queue, step.estimate, taken);
+    // The members of a gang end together, so they tell nothing of how fast
+    // each worker is.
+    if (step.is_gang)
+        return;
+    learned_.speed.record(run.order.agent,
+                          fmt::format("{}.{}", task.job_id, task.step), taken);
+}
+
+void run_end_recorder::mark_done(open_job& job, jobs::task_id const& task)
+{
+    auto const& step = step_of(job, task);
+    if (step.is_long_running)
+        return;
+    if (!step.is_gang) {
+        find_task(job, task)->is_done = true;
+        return;
+    }
+    // The end of one member stands for all members of the gang.
+    auto& tasks = job.progress.occurrences[task.occurrence]
+                      .steps[static_cast<std::size_t>(task.step)];
+    for (auto& member : tasks)
+        member.is_done = true;
+}
+
+void run_end_recorder::record_failure(open_job& job,
+                                      jobs::run_order const& order,
+                                      core::time_point now)
+{
+    auto const& id = order.run.task;
+    auto const& step = step_of(job, id);
+    learned_.health.record_failure(order.agent, id.job_id, now);
+    job.failed_on[key_of(id)][order.agent] = now;
+    if (step.is_long_running)
+        return;
+    if (!step.is_gang) {
+        ++find_task(job, id)->failures;
+    } else {
+        // Several members of one run may fail; that is one failed attempt.
+        auto& tasks = job.progress.occurrences[id.occurrence]
+                          .steps[static_cast<std::size_t>(id.step)];
+        auto& counted =
+            job.progress.occurrences[id.occurrence].failed_gang_runs[id.step];
+        if (!counted.insert(order.run.run).second)
+            return;
+        for (auto& member : tasks)
+            ++member.failures;
+    }
+    if (find_task(job, id)->failures < job.submission.terms.max_attempts)
+        return;
+    job.progress.state = jobs::job_state::failed;
+}
+
+void run_end_recorder::break_gang(open_job& job, jobs::run_id const& ended,
+                                  jobs::run_end end, core::time_point now)
+{
+    if (!step_of(job, ended.task).is_gang)
+        return;
+    for (auto& [task, run] : job.assignments) {
+        if (key_of(task) != key_of(ended.task))
+            continue;
+        if (!run.gang_broken_at)
+            run.gang_broken_at = now;
+        run.is_gang_over = run.is_gang_over || end == jobs::run_end::broken;
+    }
+}
+
+} // namespace sequoiaroute::scheduler
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -1,10 +1,10 @@
 #include "scheduler/scheduler_core.hpp"
 
+#include "scheduler/job_tasks.hpp"
+
 #include <algorithm>
 #include <utility>
 
-#include <fmt/format.h>
-
 namespace sequoiaroute::scheduler {
 
 namespace {
@@ -19,85 +19,28 @@
 /// A smaller advance says little of the rate of a run.
 constexpr std::int32_t rate_percent = 5;
 
-jobs::occurrence_progress make_occurrence(jobs::job_spec const& spec)
-{
-    jobs::occurrence_progress occurrence;
-    for (auto const& step : spec.steps) {
-        occurrence.steps.emplace_back(
-            static_cast<std::size_t>(std::max(step.task_count, 0)));
-    }
-    return occurrence;
-}
-
-bool is_occurrence_done(jobs::occurrence_progress const& occurrence)
-{
-    return std::all_of(occurrence.steps.begin(), occurrence.steps.end(),
-                       [](auto const& tasks) {
-                           return std::all_of(
-                               tasks.begin(), tasks.end(),
-                               [](auto const& task) { return task.is_done; });
-                       });
-}
-
-jobs::task_progress* find_task(open_job& job, jobs::task_id const& id)
-{
-    auto const found = job.progress.occurrences.find(id.occurrence);
-    if (found == job.progress.occurrences.end())
-        return nullptr;
-    auto& steps = found->second.steps;
-    auto const step = static_cast<std::size_t>(id.step);
-    auto const index = static_cast<std::size_t>(id.index);
-    if (step >= steps.size() || index >= steps[step].size())
-        return nullptr;
-    return &steps[step][index];
-}
-
-jobs::step_spec const& step_of(open_job const& job, jobs::task_id const& id)
-{
-    return job.submission.spec.steps[static_cast<std::size_t>(id.step)];
-}
-
-step_key key_of(jobs::task_id const& id)
-{
-    return {id.occurrence, id.step};
-}
-
-/// @return where the checkpoint of a task is recorded; that of any member of a
-///         gang is valid for all, so a gang has one
-jobs::task_progress* checkpoint_holder(open_job& job, jobs::task_id id)
-{
-    if (step_of(job, id).is_gang)
-        id.index = 0;
-    return find_task(job, id);
-}
-
 /// @return how much longer a run is expected to take
 core::duration estimate_remaining(open_job const& job, assignment const& run,
+                                  run_time_estimator const& run_times,
                                   core::time_point now)
 {
     auto const& step = step_of(job, run.order.run.task);
     if (step.is_long_running)
         return core::duration(std::chrono::hours(1));
-    auto const estimate = step.estimate;
     auto const advance = run.percent - run.first_percent;
-    if (!run.seen_running_at || advance < rate_percent)
-        return estimate * (100 - run.percent) / 100;
-    auto const elapsed = now - *run.seen_running_at;
-    return elapsed * (100 - run.percent) / advance;
+    if (!run.seen_running_at || advance < rate_percent) {
+        auto const whole =
+            run_times.expected(job.submission.terms.queue, step.estimate);
+        return whole * (100 - run.percent) / 100;
+    }
+    // The percent is as old as the report that had it.
+    auto const observed_for = run.observed_at - *run.seen_running_at;
+    auto const left_then = observed_for * (100 - run.percent) / advance;
+    return left_then - (now - run.observed_at);
 }
 
 } // namespace
 
-job_change& scheduler_core::change_of(open_job& job)
-{
-    auto const& id = job.submission.job_id;
-    auto const [position, is_new] =
-        change_positions_.emplace(id, changes_.size());
-    if (is_new)
-        changes_.push_back({id, {}, {}, false});
-    return changes_[position->second];
-}
-
 void scheduler_core::add_submission(jobs::submission submission,
                                     core::time_point now)
 {
@@ -136,6 +79,7 @@
     run.percent_changed_at = now;
     run.ordered_at = now;
     run.order = std::move(order);
+    runs_by_agent_.add(run.order.agent, run.order.run.task);
     job.assignments.insert_or_assign(run.order.run.task, std::move(run));
 }
 
@@ -152,8 +96,8 @@
     auto const agent = report.agent;
     auto& view = workers_[agent];
     if (view.report.worker.executor != report.worker.executor) {
-        health_.forget(agent);
-        speed_.forget(agent);
+        learned_.health.forget(agent);
+        learned_.speed.forget(agent);
     }
     view.report = std::move(report);
     view.heard_at = now;
@@ -191,132 +135,26 @@
     for (auto const& task : report.ended)
         ended.emplace(task.run, &task);
     bool const is_gone = report.worker.state == jobs::worker_state::gone;
-    for (auto& [id, job] : jobs_) {
-        for (auto run = job.assignments.begin();
-             run != job.assignments.end();) {
-            auto const current = run++;
-            auto const& order = current->second.order;
-            if (order.agent != report.agent)
-                continue;
-            if (auto const end = ended.find(order.run); end != ended.end()) {
-                end_run(job, current, end->second->end, end->second->checkpoint,
-                        now);
-            } else if (is_gone || order.executor != report.worker.executor) {
-                end_run(job, current, jobs::run_end::lost, {}, now);
-            }
+    for (auto const& task : runs_by_agent_.tasks_of(report.agent)) {
+        auto& job = jobs_.at(task.job_id);
+        auto const run = job.assignments.find(task);
+        auto const& order = run->second.order;
+        if (auto const end = ended.find(order.run); end != ended.end()) {
+            ends_.record(job, run, end->second->end, end->second->checkpoint,
+                         now);
+        } else if (is_gone || order.executor != report.worker.executor) {
+            ends_.record(job, run, jobs::run_end::lost, {}, now);
         }
     }
 }
 
-void scheduler_core::end_run(open_job& job, assignments::iterator run,
-                             jobs::run_end end, std::string const& checkpoint,
-                             core::time_point now)
-{
-    auto const order = run->second.order;
-    if (end == jobs::run_end::done)
-        record_speed(job, run->second, now);
-    job.assignments.erase(run);
-    change_of(job).orders.push_back(
-        {order_change::kind::remove, order, std::string(jobs::name(end))});
-    auto* const task = find_task(job, order.run.task);
-    if (task == nullptr)
-        return;
-    if (!checkpoint.empty())
-        checkpoint_holder(job, order.run.task)->checkpoint = checkpoint;
-    switch (end) {
-    case jobs::run_end::done:
-        health_.record_success(order.agent);
-        mark_done(job, order.run.task);
-        break;
-    case jobs::run_end::failed:
-        record_failure(job, order, now);
-        break;
-    case jobs::run_end::refused:
-        health_.record_refusal(order.agent, now);
-        break;
-    default:
-        break;
-    }
-    break_gang(job, order.run, end, now);
-}
-
-void scheduler_core::record_speed(open_job const& job, assignment const& run,
-                                  core::time_point now)
-{
-    auto const& task = run.order.run.task;
-    // The members of a gang end together, and a run from a checkpoint has less
-    // to do; neither tells how fast its worker is.
-    if (step_of(job, task).is_gang || !run.order.checkpoint.empty())
-        return;
-    speed_.record(run.order.agent, fmt::format("{}.{}", task.job_id, task.step),
-                  now - run.ordered_at);
-}
-
-void scheduler_core::mark_done(open_job& job, jobs::task_id const& task)
-{
-    auto const& step = step_of(job, task);
-    if (step.is_long_running)
-        return;
-    if (!step.is_gang) {
-        find_task(job, task)->is_done = true;
-        return;
-    }
-    // The end of one member stands for all members of the gang.
-    auto& tasks = job.progress.occurrences[task.occurrence]
-                      .steps[static_cast<std::size_t>(task.step)];
-    for (auto& member : tasks)
-        member.is_done = true;
-}
-
-void scheduler_core::record_failure(open_job& job, jobs::run_order const& order,
-                                    core::time_point now)
-{
-    auto const& id = order.run.task;
-    auto const& step = step_of(job, id);
-    health_.record_failure(order.agent, id.job_id, now);
-    job.failed_on[key_of(id)][order.agent] = now;
-    if (step.is_long_running)
-        return;
-    if (!step.is_gang) {
-        ++find_task(job, id)->failures;
-    } else {
-        // Several members of one run may fail; that is one failed attempt.
-        auto& tasks = job.progress.occurrences[id.occurrence]
-                          .steps[static_cast<std::size_t>(id.step)];
-        auto& counted =
-            job.progress.occurrences[id.occurrence].failed_gang_runs[id.step];
-        if (!counted.insert(order.run.run).second)
-            return;
-        for (auto& member : tasks)
-            ++member.failures;
-    }
-    if (find_task(job, id)->failures < job.submission.terms.max_attempts)
-        return;
-    job.progress.state = jobs::job_state::failed;
-}
-
-void scheduler_core::break_gang(open_job& job, jobs::run_id const& ended,
-                                jobs::run_end end, core::time_point now)
-{
-    if (!step_of(job, ended.task).is_gang)
-        return;
-    for (auto& [task, run] : job.assignments) {
-        if (key_of(task) != key_of(ended.task))
-            continue;
-        if (!run.gang_broken_at)
-            run.gang_broken_at = now;
-        run.is_gang_over = run.is_gang_over || end == jobs::run_end::broken;
-    }
-}
-
 void scheduler_core::stop(open_job& job, assignment& run,
                           std::string_view reason)
 {
     if (run.is_stopping())
         return;
     run.order.is_to_stop = true;
-    change_of(job).orders.push_back(
-        {order_change::kind::stop, run.order, std::string(reason)});
+    changes_.add_order(job, order_change::kind::stop, run.order, reason);
 }
 
 void scheduler_core::stop_step(open_job& job, jobs::task_id const& member,
@@ -347,12 +185,12 @@
     for (auto& [id, job] : jobs_)
         settle(job, at.now);
     retire(at.now);
-    change_positions_.clear();
-    for (auto& change : changes_) {
+    auto changes = changes_.take();
+    for (auto& change : changes) {
         if (!change.is_retired)
             change.progress = jobs_.at(change.job_id).progress;
     }
-    return std::exchange(changes_, {});
+    return changes;
 }
 
 void scheduler_core::end_runs_of_lost_workers(moment const& at)
@@ -362,7 +200,7 @@
              run != job.assignments.end();) {
             auto const current = run++;
             if (has_surely_ended(current->second, at))
-                end_run(job, current, jobs::run_end::lapsed, {}, at.now);
+                ends_.record(job, current, jobs::run_end::lapsed, {}, at.now);
         }
     }
 }
@@ -403,7 +241,7 @@
             continue;
         job.progress.finished_occurrences.insert(current->first);
         open.erase(current);
-        change_of(job);
+        changes_.of(job);
     }
 }
 
@@ -415,7 +253,7 @@
     if (job.is_cancelled && !jobs::is_final(state)) {
         stop_all(job, "cancelled");
         state = jobs::job_state::cancelled;
-        change_of(job);
+        changes_.of(job);
     }
     if (!jobs::is_final(state)) {
         close_occurrences(job);
@@ -423,17 +261,19 @@
             static_cast<std::int64_t>(job.progress.finished_occurrences.size());
         if (finished == job.submission.spec.occurrences()) {
             state = jobs::job_state::completed;
-            change_of(job);
+            changes_.of(job);
         } else if (state == jobs::job_state::queued &&
                    job.progress.has_started) {
             state = jobs::job_state::running;
-            change_of(job);
+            changes_.of(job);
         }
     }
     if (jobs::is_final(state)) {
         job.progress.occurrences.clear();
-        if (!job.finished_at)
+        if (!job.finished_at) {
             job.finished_at = now;
+            changes_.of(job).has_just_finished = true;
+        }
     }
 }
 
@@ -462,7 +302,8 @@
             if (view.report.worker.state != jobs::worker_state::draining)
                 continue;
             auto const leaves_at = view.heard_at + view.report.worker.remaining;
-            if (now + estimate_remaining(job, run, now) > leaves_at)
+            if (now + estimate_remaining(job, run, learned_.run_times, now) >
+                leaves_at)
                 stop_step(job, task, "worker leaves before the end");
         }
     }
@@ -470,7 +311,8 @@
 
 void scheduler_core::place(core::time_point now)
 {
-    auto const waiting = collect_waiting(jobs_, *rules_, now);
+    auto const waiting =
+        collect_waiting(jobs_, *rules_, learned_.run_times, now);
     if (waiting.empty())
         return;
     auto const running = collect_running(jobs_, now);
@@ -482,10 +324,10 @@
     running_groups.reserve(running.size());
     for (auto const& entry : running)
         running_groups.push_back(entry.group);
-    auto const result =
-        placement::run_round(collect_workers(workers_, jobs_, health_, speed_,
-                                             now, limits_.report_fresh),
-                             waiting_groups, running_groups);
+    auto const result = placement::run_round(
+        collect_workers(workers_, jobs_, learned_.health, learned_.speed, now,
+                        limits_.report_fresh),
+        waiting_groups, running_groups);
     for (auto const& placed : result.placed) {
         auto const& tasks = waiting[placed.group].tasks;
         auto& job = jobs_.at(tasks[0].job_id);
@@ -528,8 +370,8 @@
                      checkpoint_holder(job, task)->checkpoint,
                      false};
     job.progress.has_started = true;
-    change_of(job).orders.push_back(
-        {order_change::kind::start, started.order, {}});
+    changes_.add_order(job, order_change::kind::start, started.order, {});
+    runs_by_agent_.add(agent, task);
     job.assignments.insert_or_assign(task, std::move(started));
 }
 
@@ -541,7 +383,7 @@
         if (!job.finished_at || !job.assignments.empty() ||
             now - *job.finished_at < limits_.retention)
             continue;
-        change_of(job).is_retired = true;
+        changes_.of(job).is_retired = true;
         jobs_.erase(current);
     }
 }
--- a/packages/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/scheduler_core.hpp
@@ -1,9 +1,9 @@
 #pragma once
 
 #include "jobs/rules.hpp"
-#include "placement/worker_health.hpp"
 #include "scheduler/group_builder.hpp"
 #include "scheduler/open_job.hpp"
+#include "scheduler/run_end_recorder.hpp"
 #include "scheduler/worker_view.hpp"
 
 #include <memory>
@@ -44,7 +44,12 @@
 class scheduler_core
 {
 public:
-    explicit scheduler_core(scheduler_limits limits) : limits_(limits) {}
+    explicit scheduler_core(scheduler_limits limits)
+        : limits_(limits), ends_(changes_, runs_by_agent_, learned_)
+    {
+    }
+    scheduler_core(scheduler_core const&) = delete;
+    scheduler_core& operator=(scheduler_core const&) = delete;
 
     void set_rules(std::shared_ptr<jobs::rules const> rules)
     {
@@ -73,21 +78,9 @@
     worker_map const& workers() const { return workers_; }
 
 private:
-    using assignments = std::map<jobs::task_id, assignment>;
-
-    job_change& change_of(open_job& job);
     void observe_running(jobs::worker_report const& report,
                          core::time_point now);
     void end_runs(jobs::worker_report const& report, core::time_point now);
-    void end_run(open_job& job, assignments::iterator run, jobs::run_end end,
-                 std::string const& checkpoint, core::time_point now);
-    void record_failure(open_job& job, jobs::run_order const& order,
-                        core::time_point now);
-    void record_speed(open_job const& job, assignment const& run,
-                      core::time_point now);
-    void mark_done(open_job& job, jobs::task_id const& task);
-    void break_gang(open_job& job, jobs::run_id const& ended, jobs::run_end end,
-                    core::time_point now);
     bool has_surely_ended(assignment const& run, moment const& at) const;
     void stop(open_job& job, assignment& run, std::string_view reason);
     void stop_step(open_job& job, jobs::task_id const& member,
@@ -109,10 +102,10 @@
         std::make_shared<jobs::rules const>();
     job_map jobs_;
     worker_map workers_;
-    placement::worker_health health_;
-    placement::worker_speed speed_;
-    std::vector<job_change> changes_;
-    std::map<std::string, std::size_t> change_positions_;
+    run_end_recorder::lessons learned_;
+    change_list changes_;
+    assignment_index runs_by_agent_;
+    run_end_recorder ends_;
 };
 
 } // namespace sequoiaroute::scheduler
