workers: Take over what the runtime lists after a restart of the agent

Ruled out: a change of the decider. It takes a finished member from the answer to its stop; the new process of the agent answered that nothing runs.

Change: the agent asks the runtime for its tasks before it serves. Ends are reported; what still runs is stopped, and no room is given out until it has ended. Commands are refused until the runtime has answered.

Three unit tests, two of which fail without recover().

--- a/packages/workers/agent.cpp
+++ b/packages/workers/agent.cpp
@@ -77,6 +77,12 @@
     return report;
 }
 
+void agent::recover()
+{
+    if (settings_.kind == peers::target_kind::worker)
+        supervisor_.recover();
+}
+
 peers::answer_envelope agent::handle(peers::envelope const& request)
 {
     auto outcome = answer(request);
--- a/packages/workers/agent.hpp
+++ b/packages/workers/agent.hpp
@@ -48,6 +48,10 @@
     agent(agent_settings settings, std::string incarnation,
           agent_surroundings const& surroundings);
 
+    /// Takes over what the runtime lists from an earlier process of this agent.
+    /// To be called before requests are handled.
+    void recover();
+
     /// Handles a request of another process.
     peers::answer_envelope handle(peers::envelope const& request);
 
--- a/packages/workers/agent_process.cpp
+++ b/packages/workers/agent_process.cpp
@@ -43,6 +43,7 @@
 agent_process::create(agent_settings const& settings)
 {
     std::unique_ptr<agent_process> process(new agent_process(settings));
+    process->agent_.recover();
     auto options = settings.server;
     options.incarnation = process->incarnation_;
     options.counters = &process->counters_;
--- a/packages/workers/member_record.hpp
+++ b/packages/workers/member_record.hpp
@@ -3,8 +3,11 @@
 #include "core/clock.hpp"
 #include "peers/messages.hpp"
 
+#include <charconv>
 #include <cstdint>
+#include <optional>
 #include <string>
+#include <string_view>
 #include <tuple>
 
 namespace sequoiaroute::workers {
@@ -29,6 +32,27 @@
         return job_id + "." + std::to_string(attempt) + "." +
                std::to_string(member);
     }
+
+    /// @param task_id the id of a task in the runtime
+    /// @return the member; nothing if the task is of another kind
+    static std::optional<member_key> from_task_id(std::string_view task_id)
+    {
+        member_key key;
+        auto const read_last = [&](auto& number) {
+            auto const dot = task_id.rfind('.');
+            if (dot == std::string_view::npos)
+                return false;
+            auto const digits = task_id.substr(dot + 1);
+            auto const* const end = digits.data() + digits.size();
+            auto const parsed = std::from_chars(digits.data(), end, number);
+            task_id = task_id.substr(0, dot);
+            return parsed.ec == std::errc() && parsed.ptr == end;
+        };
+        if (!read_last(key.member) || !read_last(key.attempt))
+            return std::nullopt;
+        key.job_id = std::string(task_id);
+        return key;
+    }
 };
 
 /// The phases of a member at its agent.
@@ -58,6 +82,8 @@
     core::time_point renew_due;
     core::time_point stop_at; ///< end of the grace period
     bool is_acknowledged = false;
+    /// An earlier process of this agent started it; its room is not known.
+    bool is_restored = false;
 
     member_key key() const
     {
--- a/packages/workers/task_supervisor.cpp
+++ b/packages/workers/task_supervisor.cpp
@@ -44,8 +44,17 @@
     return core::success();
 }
 
+core::status task_supervisor::check_recovered() const
+{
+    if (!is_recovering_)
+        return core::success();
+    return core::error{result_code::unreachable,
+                       "the runtime has not listed its tasks yet"};
+}
+
 core::status task_supervisor::check(peers::task_command const& command)
 {
+    SEQUOIA_TRY(check_recovered());
     SEQUOIA_TRY(check_term(command.term));
     if (stopped_.contains(command.job_id, command.attempt))
         return refuse("the attempt was stopped");
@@ -69,6 +78,13 @@
         return core::success();
     if (is_leaving_)
         return refuse("the worker is leaving");
+    bool const has_unknown_use =
+        std::any_of(members_.begin(), members_.end(), [](auto const& entry) {
+            return entry.second.is_restored &&
+                   entry.second.phase != member_phase::ended;
+        });
+    if (has_unknown_use)
+        return refuse("tasks of an earlier process are being stopped");
     if (!has_room(options_.total, sum_in_use(), command.resources))
         return refuse("the resources are not free");
     member_record record;
@@ -90,6 +106,7 @@
     member_key const key{command.job_id, command.attempt, command.member};
     {
         std::lock_guard const lock(mutex_);
+        SEQUOIA_TRY(check_recovered());
         SEQUOIA_TRY(check_term(command.term));
         // A repeated start of a task that may still finish, or has, is not
         // refused: the decider would take the refusal as proof that it did not
@@ -173,6 +190,7 @@
     peers::member_report report;
     {
         std::lock_guard const lock(mutex_);
+        SEQUOIA_TRY(check_recovered());
         SEQUOIA_TRY(check_term(command.term));
         stopped_.add(command.job_id, command.attempt, clock_.now());
         auto found = members_.find(key);
--- a/packages/workers/task_supervisor.hpp
+++ b/packages/workers/task_supervisor.hpp
@@ -46,6 +46,11 @@
     {
     }
 
+    /// Takes over what the runtime lists from an earlier process of this agent:
+    /// ends are reported, and what still runs is stopped. Commands are refused
+    /// until the runtime has answered; tick() asks again.
+    void recover();
+
     /// Holds room for a member; repeating it has no effect.
     core::status reserve(peers::task_command const& command);
 
@@ -92,6 +97,8 @@
 private:
     using member_map = std::map<member_key, member_record>;
 
+    core::status check_recovered() const;
+    void restore(platform::task_report const& report);
     core::status check(peers::task_command const& command);
     core::status check_term(std::uint64_t term);
     core::status hold(peers::task_command const& command);
@@ -122,6 +129,7 @@
     stopped_attempts stopped_;
     std::uint64_t highest_term_ = 0;
     bool is_leaving_ = false;
+    bool is_recovering_ = false;
 };
 
 } // namespace sequoiaroute::workers
--- a/packages/workers/task_supervisor_leases.cpp
+++ b/packages/workers/task_supervisor_leases.cpp
@@ -9,8 +9,53 @@
 using core::result_code;
 using peers::member_state;
 
+void task_supervisor::recover()
+{
+    {
+        std::lock_guard const lock(mutex_);
+        is_recovering_ = true;
+    }
+    auto const listed = runtime_.tasks();
+    if (!is_ok(listed)) {
+        core::log(core::log_level::warning,
+                  "the runtime cannot be asked what it runs",
+                  {{"fault", failure(listed).message}});
+        return;
+    }
+    std::lock_guard const lock(mutex_);
+    for (auto const& report : value(listed))
+        restore(report);
+    is_recovering_ = false;
+}
+
+void task_supervisor::restore(platform::task_report const& report)
+{
+    auto const key = member_key::from_task_id(report.task_id);
+    if (!key || members_.contains(*key))
+        return;
+    member_record record;
+    record.command.job_id = key->job_id;
+    record.command.attempt = key->attempt;
+    record.command.member = key->member;
+    record.is_restored = true;
+    record.phase = member_phase::stopping;
+    record.detail = "the agent was restarted";
+    record.started_at = clock_.now();
+    record.renewed_at = clock_.now();
+    record.stop_at = clock_.now();
+    auto& restored = members_.emplace(*key, std::move(record)).first->second;
+    apply(restored, &report, clock_.now());
+}
+
 void task_supervisor::tick()
 {
+    bool is_recovering = false;
+    {
+        std::lock_guard const lock(mutex_);
+        is_recovering = is_recovering_;
+    }
+    if (is_recovering)
+        recover();
     lapse();
     renew();
     stop_due();
--- a/tests/workers/task_supervisor_test.cpp
+++ b/tests/workers/task_supervisor_test.cpp
@@ -141,6 +141,58 @@
     EXPECT_EQ(supervisor_.in_use().accelerators, 0);
 }
 
+// Guards against a gang that runs to its end again because the agent of a
+// member died after its task had finished.
+TEST_F(task_supervisor_test, reports_what_finished_before_this_process)
+{
+    tasks_ = {{"j1.1.2", task_state::finished, "result", "", ""},
+              {"j2.3.0", task_state::lease_expired, "", "cp", ""},
+              {"of.another.kind", task_state::finished, "", "", ""}};
+    supervisor_.recover();
+    auto const reports = supervisor_.pending_reports();
+    ASSERT_EQ(reports.size(), 2U);
+    EXPECT_EQ(reports[0].job_id, "j1");
+    EXPECT_EQ(reports[0].member, 2);
+    EXPECT_EQ(reports[0].state, member_state::finished);
+    EXPECT_EQ(reports[0].output, "result");
+    EXPECT_EQ(reports[1].attempt, 3U);
+    EXPECT_EQ(reports[1].state, member_state::stopped);
+    EXPECT_EQ(reports[1].checkpoint, "cp");
+}
+
+// Guards against room that is given out while a task of an earlier process
+// still holds it.
+TEST_F(task_supervisor_test, stops_what_an_earlier_process_left_running)
+{
+    tasks_ = {{"j1.1.0", task_state::running, "", "", ""}};
+    supervisor_.recover();
+    EXPECT_EQ(code_of(supervisor_.reserve(make_command("j2"))),
+              result_code::refused_not_run);
+    EXPECT_CALL(runtime_, stop(std::string_view("j1.1.0")))
+        .Times(testing::AtLeast(1));
+    supervisor_.tick();
+    tasks_[0].state = task_state::stopped;
+    supervisor_.tick();
+    EXPECT_EQ(supervisor_.pending_reports().size(), 1U);
+    EXPECT_TRUE(is_ok(supervisor_.reserve(make_command("j2"))));
+}
+
+// Guards against "not running" for a task that the runtime still has.
+TEST_F(task_supervisor_test, refuses_commands_until_the_runtime_has_answered)
+{
+    core::error const down = unreachable();
+    EXPECT_CALL(runtime_, tasks()).WillRepeatedly(Return(down));
+    supervisor_.recover();
+    EXPECT_EQ(code_of(supervisor_.stop(make_stop("j1"))),
+              result_code::unreachable);
+    EXPECT_EQ(code_of(supervisor_.start(make_command("j1"))),
+              result_code::unreachable);
+    testing::Mock::VerifyAndClearExpectations(&runtime_);
+    SetUp();
+    supervisor_.tick();
+    EXPECT_TRUE(is_ok(supervisor_.stop(make_stop("j1"))));
+}
+
 // Guards against accelerators counted as free before the task is gone.
 TEST_F(task_supervisor_test, stop_waits_for_grace_and_confirmation)
 {
