notices: Announce urgent work beside the store, and hand the lease over on request

Ruled out: orders before they are stored, which another decider would repeat; ends that are shown before they are stored, which a loss of power would undo.

Whoever has written a row of urgent work announces it to the one who waits for it; a replica takes it if it is newer than all that the feed has told. Agents tell the decider of awaited ends and of a changed executor at once; what is acknowledged to executors is still the stored report. Reports that are older than the last one are left out. The lease row names the holder's address.

--- a/packages/agents/agent_service.cpp
+++ b/packages/agents/agent_service.cpp
@@ -29,8 +29,9 @@
 
 agent_service::agent_service(rows::row_store& store,
                              event::timer_service& timers,
-                             executor_runtime& runtime, options settings)
-    : store_(store), timers_(timers), runtime_(runtime),
+                             executor_runtime& runtime,
+                             notices::notice_sender& notices, options settings)
+    : store_(store), timers_(timers), runtime_(runtime), notices_(notices),
       options_(std::move(settings)),
       orders_(
           store, timers,
@@ -93,6 +94,7 @@
         auto const known = jobs::decode_report(current_report_);
         if (core::is_ok(known)) {
             auto const& report = core::value(known);
+            earlier_report_at_ = report.written_at;
             if (worker_.executor.id.empty())
                 update_executor(report.worker);
             for (auto const& ended : report.ended)
@@ -137,8 +139,10 @@
     auto ended = worker_;
     ended.state = jobs::worker_state::gone;
     update_executor(std::move(ended));
-    if (is_serving_)
+    if (is_serving_) {
+        tell_decider();
         publish_if_due();
+    }
 }
 
 void agent_service::update_executor(jobs::worker_description worker)
@@ -153,6 +157,7 @@
     }
     if (is_new || has_new_state || worker.capacity != worker_.capacity) {
         is_report_urgent_ = true;
+        is_state_untold_ = true;
         core::log_event(is_new ? "executor_joined" : "executor_changed",
                         {{"executor", worker.executor.id},
                          {"born_ms", worker.executor.born_ms},
@@ -163,15 +168,45 @@
     book_.set_executor(worker_);
 }
 
+void agent_service::receive_notice(notices::row_notice notice)
+{
+    decider_address_ = notice.decider_address;
+    for (auto& row : notice.rows)
+        orders_.offer(std::move(row));
+    if (is_serving_)
+        act();
+}
+
 void agent_service::act()
 {
     for (auto const& action : book_.next_actions(timers_.now()))
         send(action);
+    tell_decider();
     if (book_.end_count() != published_ends_)
         publish_if_due();
     look();
 }
 
+/// Tells the decider of ends for which urgent work waits, and of a changed
+/// state of the executor, without waiting for the store.
+void agent_service::tell_decider()
+{
+    bool const has_news =
+        book_.awaited_end_count() != told_ends_ || is_state_untold_;
+    if (!has_news || !is_serving_ || worker_.executor.id.empty())
+        return;
+    told_ends_ = book_.awaited_end_count();
+    is_state_untold_ = false;
+    if (decider_address_.empty())
+        return;
+    std::weak_ptr<bool> const alive = alive_;
+    notices_.send_report(decider_address_, jobs::encode(make_report()),
+                         [this, alive](bool is_decider) {
+                             if (!alive.expired() && !is_decider)
+                                 decider_address_.clear();
+                         });
+}
+
 void agent_service::send(run_book::action const& action)
 {
     std::weak_ptr<bool> const alive = alive_;
@@ -347,7 +382,10 @@
 
 jobs::worker_report agent_service::make_report() const
 {
-    auto const written_at = store_time_ + (timers_.now() - store_time_read_at_);
+    auto const store_time = store_time_ + (timers_.now() - store_time_read_at_);
+    // The decider leaves out reports that are older than the last one.
+    auto const written_at =
+        std::max(store_time, earlier_report_at_ + core::duration(1));
     return {options_.agent, written_at, worker_, book_.running(),
             book_.ended()};
 }
--- a/packages/agents/agent_service.hpp
+++ b/packages/agents/agent_service.hpp
@@ -6,6 +6,7 @@
 #include "event/timer_service.hpp"
 #include "jobs/lease_timing.hpp"
 #include "jobs/worker_report.hpp"
+#include "notices/notice_sender.hpp"
 #include "rows/answer_time.hpp"
 #include "rows/row_store.hpp"
 #include "rows/table_replica.hpp"
@@ -29,8 +30,14 @@
         jobs::lease_timing timing;
     };
 
+    /// @param store where orders and reports are
+    /// @param timers time
+    /// @param runtime the executor
+    /// @param notices tells the decider of what it waits for
+    /// @param settings names and times
     agent_service(rows::row_store& store, event::timer_service& timers,
-                  executor_runtime& runtime, options settings);
+                  executor_runtime& runtime, notices::notice_sender& notices,
+                  options settings);
 
     /// Begins: reads the orders and the last report, then serves.
     void start();
@@ -41,6 +48,9 @@
     void receive_heartbeat(jobs::worker_description worker,
                            std::int64_t sequence);
 
+    /// Takes note of orders that the decider announced.
+    void receive_notice(notices::row_notice notice);
+
     /// The executor has ended.
     void receive_goodbye(std::string const& executor_id);
 
@@ -60,6 +70,7 @@
 
     void publish_if_due();
     void publish();
+    void tell_decider();
     void receive_published(rows::commit_result const& result,
                            std::int64_t acknowledged);
     jobs::worker_report make_report() const;
@@ -71,6 +82,7 @@
     rows::row_store& store_;
     event::timer_service& timers_;
     executor_runtime& runtime_;
+    notices::notice_sender& notices_;
     options options_;
     rows::table_replica orders_;
     run_book book_;
@@ -91,6 +103,11 @@
     std::int64_t acknowledged_ = 0;
     std::int64_t highest_listed_ = 0;
 
+    /// Where the decider takes reports; empty while it is not known.
+    std::string decider_address_;
+    std::uint64_t told_ends_ = 0;
+    bool is_state_untold_ = false;
+
     // The report in the store.
     rows::row_version report_version_ = rows::no_row;
     std::string current_report_;
@@ -106,6 +123,8 @@
     /// The store's clock when it was last read, and when that was.
     core::duration store_time_{0};
     core::time_point store_time_read_at_{};
+    /// When the last report of an earlier process was written.
+    core::duration earlier_report_at_{0};
 
     std::unique_ptr<event::timer> tick_timer_;
     std::unique_ptr<event::timer> load_timer_;
--- a/packages/agents/run_book.cpp
+++ b/packages/agents/run_book.cpp
@@ -49,6 +49,8 @@
         jobs::ended_task{target.order.run, how, std::move(checkpoint)};
     target.running.reset();
     ++end_count_;
+    if (target.order.is_urgent || target.order.is_to_stop)
+        ++awaited_end_count_;
 }
 
 bool run_book::wants_stop(entry const& target) const
--- a/packages/agents/run_book.hpp
+++ b/packages/agents/run_book.hpp
@@ -71,6 +71,10 @@
     /// @return a number that changes with each new end
     std::uint64_t end_count() const { return end_count_; }
 
+    /// @return a number that changes with each new end for which urgent work
+    ///         waits: its own, or that of a run that was to make room
+    std::uint64_t awaited_end_count() const { return awaited_end_count_; }
+
     /// @return whether the executor's lists are needed to go on
     bool needs_lists() const;
 
@@ -101,6 +105,7 @@
     jobs::worker_description worker_;
     std::vector<jobs::run_id> unordered_;
     std::uint64_t end_count_ = 0;
+    std::uint64_t awaited_end_count_ = 0;
 };
 
 } // namespace sequoiaroute::agents
--- a/packages/gateway/customer_service.cpp
+++ b/packages/gateway/customer_service.cpp
@@ -77,6 +77,7 @@
     customer_responder respond;
     call_outcome success = call_outcome::accepted;
     std::string job_id;
+    bool is_urgent = false;
     /// A sending had no answer, so it may take effect later.
     bool may_be_done = false;
     std::unique_ptr<event::timer> retry_timer;
@@ -87,9 +88,9 @@
                                    rules_source const& rules,
                                    rows::table_replica const& work,
                                    job_directory const& directory,
-                                   call_relay& relay)
+                                   call_relay& relay, write_observer& observer)
     : store_(store), timers_(timers), rules_(rules), work_(work),
-      directory_(directory), relay_(relay)
+      directory_(directory), relay_(relay), observer_(observer)
 {
     store_.on_return([this] { resume_waiting(); });
 }
@@ -174,6 +175,7 @@
     write->changes.conditions.push_back({key, rows::no_row});
     write->changes.writes.push_back({key, jobs::encode(submission)});
     write->success = call_outcome::accepted;
+    write->is_urgent = queue.terms.is_urgent();
     write->job_id = std::move(job_id);
     write->respond = std::move(respond);
     auto const limit = call.time_limit > core::duration(0) ? call.time_limit
@@ -302,6 +304,12 @@
                                rows::commit_result const& result)
 {
     using rows::commit_outcome;
+    if (result.outcome == commit_outcome::committed) {
+        auto const& written = write->changes.writes.front();
+        observer_.on_written(
+            {written.key, written.value, result.version, false},
+            write->is_urgent);
+    }
     if (result.outcome == commit_outcome::committed ||
         result.outcome == commit_outcome::conflict) {
         // A conflict says that the job is stored already: by an earlier
--- a/packages/gateway/customer_service.hpp
+++ b/packages/gateway/customer_service.hpp
@@ -5,6 +5,7 @@
 #include "gateway/job_directory.hpp"
 #include "gateway/peer_relay.hpp"
 #include "gateway/rules_source.hpp"
+#include "gateway/write_observer.hpp"
 #include "rows/answer_time.hpp"
 #include "rows/monitored_store.hpp"
 #include "rows/table_replica.hpp"
@@ -26,9 +27,11 @@
     /// @param work the copy of the work table
     /// @param directory what that copy says of jobs
     /// @param relay passes calls to other entries
+    /// @param observer learns of what was written
     customer_service(rows::monitored_store& store, event::timer_service& timers,
                      rules_source const& rules, rows::table_replica const& work,
-                     job_directory const& directory, call_relay& relay);
+                     job_directory const& directory, call_relay& relay,
+                     write_observer& observer);
 
     /// Answers a call.
     /// @param call the call
@@ -64,6 +67,7 @@
     rows::table_replica const& work_;
     job_directory const& directory_;
     call_relay& relay_;
+    write_observer& observer_;
     rows::answer_time answer_time_;
     /// Writes that wait for the store to answer again.
     std::list<std::shared_ptr<pending_write>> waiting_;
--- a/packages/gateway/peer_relay.cpp
+++ b/packages/gateway/peer_relay.cpp
@@ -5,84 +5,21 @@
 
 #include <algorithm>
 
-#include <fmt/format.h>
-
 namespace sequoiaroute::gateway {
 
 namespace {
 
-constexpr std::string_view entries_table = "sequoiaroute-entries";
-constexpr std::string_view entries_part = "entries";
-constexpr core::duration register_period{4000};
-constexpr core::duration entries_feed_wait{4000};
-constexpr core::duration register_timeout{1000};
 /// A peer answers within a few milliseconds, or is cut off as well.
 constexpr core::duration relay_timeout{600};
 constexpr std::size_t peers_tried = 2;
 
 } // namespace
 
-peer_relay::peer_relay(rows::monitored_store& store,
-                       event::timer_service& timers, event::http_client& client,
-                       std::string address)
-    : store_(store), timers_(timers), client_(client),
-      address_(std::move(address)), entries_(store, timers,
-                                             {std::string(entries_table),
-                                              entries_feed_wait,
-                                              core::duration(0),
-                                              {}},
-                                             [](rows::row const&) {
-                                                 // The copy itself is what
-                                                 // counts.
-                                             })
-{
-}
-
-void peer_relay::start()
-{
-    entries_.start();
-    register_self();
-    register_timer_ =
-        timers_.every(register_period, [this] { register_self(); });
-}
-
-void peer_relay::register_self()
-{
-    if (!store_.is_reachable())
-        return;
-    rows::transaction changes;
-    changes.writes.push_back(
-        {{std::string(entries_table), std::string(entries_part), address_},
-         fmt::format("{}", ++registrations_)});
-    store_.commit(std::move(changes), register_timeout,
-                  [](rows::commit_result const&) {
-                      // The next registration makes up for a lost one.
-                  });
-}
-
-/// @return the other entries, those that registered last first
-std::vector<std::string> peer_relay::peers() const
-{
-    std::vector<rows::row const*> rows;
-    for (auto const& [key, row] : entries_.rows()) {
-        if (key.key != address_)
-            rows.push_back(&row);
-    }
-    std::sort(rows.begin(), rows.end(),
-              [](auto const* left, auto const* right) {
-                  return left->version > right->version;
-              });
-    std::vector<std::string> addresses;
-    for (auto const* row : rows) {
-        if (addresses.size() < peers_tried)
-            addresses.push_back(row->key.key);
-    }
-    return addresses;
-}
-
 void peer_relay::relay(customer_call const& call, callback done)
 {
-    try_peer({encode(call), peers(), false, std::move(done)});
+    auto peers = entries_.others();
+    peers.resize(std::min(peers.size(), peers_tried));
+    try_peer({encode(call), std::move(peers), false, std::move(done)});
 }
 
 void peer_relay::try_peer(attempt current)
--- a/packages/gateway/peer_relay.hpp
+++ b/packages/gateway/peer_relay.hpp
@@ -1,13 +1,10 @@
 #pragma once
 
 #include "event/http_client.hpp"
-#include "event/timer_service.hpp"
 #include "gateway/customer_call.hpp"
-#include "rows/monitored_store.hpp"
-#include "rows/table_replica.hpp"
+#include "gateway/entry_registry.hpp"
 
 #include <functional>
-#include <memory>
 #include <optional>
 #include <string>
 #include <vector>
@@ -29,24 +26,17 @@
     virtual void relay(customer_call const& call, callback done) = 0;
 };
 
-/// Passes calls to other entries while the store refuses this one. The store
-/// may serve some machines and refuse others; the entries register there, and
-/// each remembers the others.
+/// Passes calls to other entries while the store refuses this one; it may
+/// serve some machines and refuse others.
 class peer_relay final : public call_relay
 {
 public:
-    /// @param store where entries register
-    /// @param timers time
-    /// @param client calls other entries
-    /// @param address IP:PORT on which other entries reach this one
-    peer_relay(rows::monitored_store& store, event::timer_service& timers,
-               event::http_client& client, std::string address);
-
-    /// Begins to register and to follow the other entries.
-    void start();
-
-    /// Asks the store again at once.
-    void restart() { entries_.restart(); }
+    /// @param entries the other entries
+    /// @param client calls them
+    peer_relay(entry_registry const& entries, event::http_client& client)
+        : entries_(entries), client_(client)
+    {
+    }
 
     void relay(customer_call const& call, callback done) override;
 
@@ -60,19 +50,12 @@
         callback done;
     };
 
-    void register_self();
-    std::vector<std::string> peers() const;
     void try_peer(attempt current);
     void receive(std::string const& peer, attempt current,
                  event::http_reply const& reply);
 
-    rows::monitored_store& store_;
-    event::timer_service& timers_;
+    entry_registry const& entries_;
     event::http_client& client_;
-    std::string address_;
-    rows::table_replica entries_;
-    std::int64_t registrations_ = 0;
-    std::unique_ptr<event::timer> register_timer_;
 };
 
 } // namespace sequoiaroute::gateway
--- a/packages/jobs/job_spec.hpp
+++ b/packages/jobs/job_spec.hpp
@@ -69,6 +69,7 @@
     std::string service; ///< whose workers run the tasks
     /// 0 goes first, and may preempt the others.
     std::int32_t priority = 0;
+    bool is_urgent() const { return priority == 0; }
     /// How many failed runs of a task end the job.
     std::int32_t max_attempts = 1;
     /// The completion objective is this many times the run time...
--- a/packages/jobs/row_codec.cpp
+++ b/packages/jobs/row_codec.cpp
@@ -285,6 +285,8 @@
                   {"checkpoint", value.checkpoint}};
     if (value.is_to_stop)
         document["stop"] = true;
+    if (value.is_urgent)
+        document["urgent"] = true;
     return dump(document);
 }
 
@@ -298,6 +300,7 @@
         value.payload = document.at("payload");
         value.checkpoint = document.at("checkpoint");
         value.is_to_stop = document.value("stop", false);
+        value.is_urgent = document.value("urgent", false);
         return value;
     });
 }
--- a/packages/jobs/worker_report.hpp
+++ b/packages/jobs/worker_report.hpp
@@ -109,6 +109,8 @@
     std::string payload;
     std::string checkpoint;
     bool is_to_stop = false;
+    /// Its job is urgent, so the decider is told of its end at once.
+    bool is_urgent = false;
 };
 
 } // namespace sequoiaroute::jobs
--- a/packages/programs/schedule_entry.cpp
+++ b/packages/programs/schedule_entry.cpp
@@ -7,10 +7,12 @@
 #include "event/evhttp_client.hpp"
 #include "gateway/call_codec.hpp"
 #include "gateway/customer_service.hpp"
+#include "gateway/entry_registry.hpp"
 #include "gateway/job_directory.hpp"
 #include "gateway/peer_relay.hpp"
 #include "jobs/lease_timing.hpp"
 #include "metrics/metrics.hpp"
+#include "notices/http_notices.hpp"
 #include "programs/metrics_server.hpp"
 #include "rows/monitored_store.hpp"
 #include "rows/row_layout.hpp"
@@ -34,6 +36,9 @@
 constexpr core::duration balancer_delay{3000};
 /// What is left of the grace period when the process ends.
 constexpr core::duration exit_reserve{1200};
+/// How long the store may refuse the decider before another entry is asked to
+/// take over. Connections that were reset are replaced sooner.
+constexpr core::duration takeover_patience{250};
 /// How much longer than promised the state of a finished job is kept.
 constexpr core::duration retention_slack{60'000};
 
@@ -66,7 +71,7 @@
 }
 
 /// The parts of an entry, in the order in which they depend on each other.
-class schedule_entry
+class schedule_entry final : private gateway::write_observer
 {
 public:
     schedule_entry(std::unique_ptr<event::event_loop> loop,
@@ -86,10 +91,14 @@
                     work_.set_pause(decider_.is_decider() ? core::duration(0)
                                                           : follower_pause);
                 }),
-          relay_(store_, *loop_, client_, settings_.text("listen.entries")),
-          customers_(store_, *loop_, rules_, work_, directory_, relay_),
+          entries_(store_, *loop_, settings_.text("listen.entries")),
+          relay_(entries_, client_),
+          customers_(store_, *loop_, rules_, work_, directory_, relay_, *this),
+          notices_(client_),
           decider_(store_, *loop_, work_, [this] { return rules_.current(); },
-                   {settings_.text("process.node"), limits_from(settings_)})
+                   {notices_, [this] { return entries_.others(); }},
+                   {settings_.text("process.node"),
+                    settings_.text("listen.entries"), limits_from(settings_)})
     {
     }
 
@@ -112,7 +121,7 @@
                              *loop_, settings_.text("listen.entries"), {},
                              [this](event::http_request const& request,
                                     event::http_responder const& respond) {
-                                 serve_relayed(request, respond);
+                                 serve_peer(request, respond);
                              }));
         SEQUOIA_TRY_INTO(
             metrics_server_,
@@ -127,11 +136,17 @@
         });
         store_.on_return([this] {
             rules_.restart();
-            relay_.restart();
+            entries_.restart();
             work_.restart();
         });
+        store_.on_loss([this] {
+            takeover_timer_ = loop_->after(takeover_patience, [this] {
+                if (!store_.is_reachable())
+                    decider_.ask_takeover();
+            });
+        });
         rules_.start();
-        relay_.start();
+        entries_.start();
         work_.start();
         decider_.start();
         core::log_event("process_started",
@@ -156,6 +171,35 @@
                           });
     }
 
+    /// Tells the decider of an urgent job at once.
+    void on_written(rows::row const& written, bool is_urgent) override
+    {
+        work_.offer(written);
+        if (is_urgent && !decider_.is_decider() &&
+            !decider_.decider_address().empty())
+            notices_.send_rows(decider_.decider_address(), {{}, {written}});
+    }
+
+    /// Serves calls and notices of other processes of the system.
+    void serve_peer(event::http_request const& request,
+                    event::http_responder const& respond)
+    {
+        notices::notice_handlers const handlers{
+            [this](notices::row_notice notice) {
+                for (auto& row : notice.rows)
+                    work_.offer(std::move(row));
+            },
+            [this](std::string const& report) {
+                return decider_.receive_report(report);
+            },
+            [this] {
+                if (store_.is_reachable())
+                    decider_.take_over();
+            }};
+        if (!notices::serve_notice(handlers, request, respond))
+            serve_relayed(request, respond);
+    }
+
     /// Answers a call that another entry has passed on.
     void serve_relayed(event::http_request const& request,
                        event::http_responder const& respond)
@@ -203,13 +247,16 @@
     adapter::store_rules rules_;
     gateway::job_directory directory_;
     rows::table_replica work_;
+    gateway::entry_registry entries_;
     gateway::peer_relay relay_;
     gateway::customer_service customers_;
+    notices::http_notice_sender notices_;
     scheduler::decider_service decider_;
     std::unique_ptr<adapter::customer_server> customer_server_;
     std::unique_ptr<event::http_server> readiness_server_;
     std::unique_ptr<event::http_server> relay_server_;
     std::unique_ptr<event::http_server> metrics_server_;
+    std::unique_ptr<event::timer> takeover_timer_;
     std::unique_ptr<event::timer> stop_timer_;
     std::unique_ptr<event::timer> limit_timer_;
     std::unique_ptr<event::timer> idle_timer_;
--- a/packages/programs/store_agent.cpp
+++ b/packages/programs/store_agent.cpp
@@ -7,6 +7,7 @@
 #include "event/evhttp_client.hpp"
 #include "executor_client.hpp"
 #include "heartbeat_server.hpp"
+#include "notices/http_notices.hpp"
 #include "programs/metrics_server.hpp"
 #include "store_client.hpp"
 
@@ -23,6 +24,7 @@
         {"process", "node", setting_type::text, {}, true},
         {"process", "address", setting_type::text, {}, true},
         {"listen", "heartbeats", setting_type::address, {}, true},
+        {"listen", "notices", setting_type::address, {}, true},
         {"listen", "metrics", setting_type::address, {}, true},
         {"executor", "address", setting_type::address, {}, true},
         {"store", "address", setting_type::address, {}, true},
@@ -45,7 +47,8 @@
     options.agent = settings.text("process.address");
     options.timing = {settings.time("bounds.lease"),
                       settings.time("bounds.stop")};
-    agents::agent_service agent(store, *loop, executor, options);
+    notices::http_notice_sender notices(client);
+    agents::agent_service agent(store, *loop, executor, notices, options);
     SEQUOIA_TRY_INTO(
         auto const server,
         adapter::heartbeat_server::create(
@@ -55,6 +58,21 @@
                                          message.sequence);
              },
              [&](std::string const& id) { agent.receive_goodbye(id); }}));
+    notices::notice_handlers const handlers{[&](notices::row_notice notice) {
+                                                agent.receive_notice(
+                                                    std::move(notice));
+                                            },
+                                            {},
+                                            {}};
+    SEQUOIA_TRY_INTO(
+        auto const notice_server,
+        event::http_server::create(
+            *loop, settings.text("listen.notices"), {},
+            [&](event::http_request const& request,
+                event::http_responder const& respond) {
+                if (!notices::serve_notice(handlers, request, respond))
+                    respond({404, {}, "{}", "application/json"});
+            }));
     SEQUOIA_TRY_INTO(
         auto const metrics_server,
         create_metrics_server(*loop, settings.text("listen.metrics")));
--- a/packages/rows/monitored_store.cpp
+++ b/packages/rows/monitored_store.cpp
@@ -39,6 +39,8 @@
         if (!is_now) {
             lost_at_ = now;
             core::log_event("store_lost", {});
+            for (auto const& callback : loss_callbacks_)
+                callback();
         } else {
             core::log_event("store_regained",
                             {{"after_ms", (now - lost_at_).count()}});
--- a/packages/rows/monitored_store.hpp
+++ b/packages/rows/monitored_store.hpp
@@ -32,6 +32,12 @@
         return_callbacks_.push_back(std::move(callback));
     }
 
+    /// @param callback called whenever the store ceases to answer
+    void on_loss(std::function<void()> callback)
+    {
+        loss_callbacks_.push_back(std::move(callback));
+    }
+
     void commit(transaction changes, core::duration timeout,
                 std::function<void(commit_result)> done) override;
     void read(range rows, std::function<void(page)> done) override;
@@ -50,6 +56,7 @@
     event::timer_service& timers_;
     store_reachability reachability_;
     std::vector<std::function<void()>> return_callbacks_;
+    std::vector<std::function<void()>> loss_callbacks_;
     bool was_reachable_ = true;
     bool is_probing_ = false;
     core::time_point probed_at_{};
--- a/packages/rows/table_replica.cpp
+++ b/packages/rows/table_replica.cpp
@@ -39,6 +39,13 @@
         load();
 }
 
+void table_replica::offer(row announced)
+{
+    if (is_loaded() && announced.key.table == options_.table &&
+        announced.version > newest_version_)
+        apply(std::move(announced));
+}
+
 bool table_replica::is_current(std::uint64_t attempt) const
 {
     return attempt == attempt_;
@@ -156,6 +163,7 @@
     for (auto& [key, entry] : std::exchange(loading_, {}))
         apply(std::move(entry));
     version_ = loading_version_;
+    newest_version_ = std::max(newest_version_, version_);
     confirmed_at_ = sent_at_;
     if (on_pass_)
         on_pass_();
@@ -184,6 +192,7 @@
         apply(std::move(changed));
     retry_delays_.reset();
     version_ = std::max(version_, page.version);
+    newest_version_ = std::max(newest_version_, version_);
     confirmed_at_ = sent_at_;
     if (on_pass_)
         on_pass_();
--- a/packages/rows/table_replica.hpp
+++ b/packages/rows/table_replica.hpp
@@ -48,6 +48,11 @@
     /// the store answers again after a silence.
     void restart();
 
+    /// Takes a row that its writer announced before the feed has it. A row that
+    /// is not newer than all that the feed has told is left out, since it may
+    /// have been removed.
+    void offer(row announced);
+
     /// Changes how long to wait after a change before asking again.
     void set_pause(core::duration pause) { options_.pause = pause; }
 
@@ -91,6 +96,9 @@
     std::function<void()> on_pass_;
     std::map<row_key, row> rows_;
     row_version version_ = no_row;
+    /// The highest version up to which the feed has told all changes. A reading
+    /// may be older.
+    row_version newest_version_ = no_row;
     std::optional<core::time_point> confirmed_at_;
     core::time_point sent_at_{};
     /// The store's clock at the last reading, and when that was.
--- a/packages/scheduler/commit_queue.cpp
+++ b/packages/scheduler/commit_queue.cpp
@@ -30,6 +30,7 @@
 std::string encode(lease_record const& record)
 {
     return core::json{{"holder", record.holder},
+                      {"address", record.address},
                       {"term", record.term},
                       {"renewals", record.renewals}}
         .dump();
@@ -41,16 +42,16 @@
     if (!document.is_object())
         return {};
     return {document.value("holder", std::string()),
+            document.value("address", std::string()),
             document.value("term", std::int64_t{0}),
             document.value("renewals", std::int64_t{0})};
 }
 
 commit_queue::commit_queue(rows::row_store& store, event::timer_service& timers,
                            lease_record lease, rows::row_version version,
-                           std::function<void(notice)> observer)
+                           commit_observer& observer)
     : store_(store), timers_(timers), lease_(std::move(lease)),
-      version_(version), observer_(std::move(observer)),
-      last_written_at_(timers.now())
+      version_(version), observer_(observer), last_written_at_(timers.now())
 {
 }
 
@@ -125,7 +126,7 @@
 void commit_queue::send_next()
 {
     if (waiting_.empty())
-        return observer_(notice::written);
+        return observer_.on_idle();
     auto next = std::move(waiting_.front());
     waiting_.pop_front();
     ++lease_.renewals;
@@ -165,7 +166,7 @@
                 row.value == current_lease_)
                 return finish(row.version);
         }
-        return observer_(notice::lease_lost);
+        return observer_.on_lease_lost();
     case rows::commit_outcome::not_done:
     case rows::commit_outcome::unknown:
         return resend_later();
@@ -182,6 +183,7 @@
     version_ = version;
     in_flight_ = false;
     last_written_at_ = timers_.now();
+    observer_.on_written(current_, version);
     send_next();
 }
 
--- a/packages/scheduler/commit_queue.hpp
+++ b/packages/scheduler/commit_queue.hpp
@@ -7,7 +7,6 @@
 
 #include <cstdint>
 #include <deque>
-#include <functional>
 #include <memory>
 #include <span>
 #include <string>
@@ -19,6 +18,8 @@
 struct lease_record
 {
     std::string holder; ///< empty if it was given up
+    /// IP:PORT on which the holder takes notices.
+    std::string address;
     std::int64_t term = 0;
     std::int64_t renewals = 0;
 
@@ -30,6 +31,23 @@
 /// @return the record; one without a holder if the text is not valid
 lease_record decode_lease(std::string_view text);
 
+/// Learns how the decider's changes are written.
+class commit_observer
+{
+public:
+    virtual ~commit_observer() = default;
+
+    /// A transaction took effect.
+    virtual void on_written(rows::transaction const& written,
+                            rows::row_version version) = 0;
+
+    /// All changes are written.
+    virtual void on_idle() = 0;
+
+    /// Another process holds the lease.
+    virtual void on_lease_lost() = 0;
+};
+
 /// Writes the decider's changes, one transaction at a time.
 ///
 /// Every transaction requires the version of the lease row that the last one
@@ -40,20 +58,14 @@
 class commit_queue
 {
 public:
-    enum class notice
-    {
-        written,    ///< the queue is empty
-        lease_lost, ///< another process holds the lease
-    };
-
     /// @param store where to write
     /// @param timers drives retries
     /// @param lease what the lease row says
     /// @param version the version of the lease row
-    /// @param observer is told when the queue is empty or the lease lost
+    /// @param observer learns how the writing goes
     commit_queue(rows::row_store& store, event::timer_service& timers,
                  lease_record lease, rows::row_version version,
-                 std::function<void(notice)> observer);
+                 commit_observer& observer);
 
     /// Adds changes of jobs.
     void push(std::span<job_change const> changes);
@@ -89,7 +101,7 @@
     event::timer_service& timers_;
     lease_record lease_;
     rows::row_version version_;
-    std::function<void(notice)> observer_;
+    commit_observer& observer_;
     std::deque<batch> waiting_;
     rows::transaction current_;
     std::string current_lease_;
--- a/packages/scheduler/decider_service.cpp
+++ b/packages/scheduler/decider_service.cpp
@@ -28,6 +28,8 @@
 constexpr core::duration report_pause{20};
 constexpr core::duration lease_timeout{1000};
 constexpr core::duration load_retry{150};
+/// How many entries are asked to take over; one is enough.
+constexpr std::size_t entries_asked = 2;
 
 std::int64_t wall_now_ms()
 {
@@ -102,9 +104,10 @@
 decider_service::decider_service(
     rows::row_store& store, event::timer_service& timers,
     rows::table_replica const& work,
-    std::function<std::shared_ptr<jobs::rules const>()> rules, options settings)
+    std::function<std::shared_ptr<jobs::rules const>()> rules, peers others,
+    options settings)
     : store_(store), timers_(timers), work_(work), rules_(std::move(rules)),
-      options_(std::move(settings)),
+      peers_(std::move(others)), options_(std::move(settings)),
       // The time of day may jump later; the steady clock does not.
       wall_offset_ms_(wall_now_ms() - timers.now().time_since_epoch().count())
 {
@@ -158,7 +161,25 @@
     if (is_lease_vacant())
         try_acquire();
     else if (timers_.now() - lease_changed_at_ > takeover_after)
-        check_lease();
+        check_lease(true);
+}
+
+void decider_service::take_over()
+{
+    if (commits_ == nullptr && work_.is_loaded())
+        check_lease(false);
+}
+
+void decider_service::ask_takeover()
+{
+    if (commits_ == nullptr)
+        return;
+    auto entries = peers_.entries();
+    entries.resize(std::min(entries.size(), entries_asked));
+    core::log_event("takeover_asked",
+                    {{"entries", static_cast<std::int64_t>(entries.size())}});
+    for (auto const& entry : entries)
+        peers_.sender.ask_takeover(entry);
 }
 
 bool decider_service::is_lease_vacant() const
@@ -169,7 +190,7 @@
 
 /// Reads the lease row before a takeover: this entry's copy may be late, and
 /// the time that the reading takes shows how slow the store is.
-void decider_service::check_lease()
+void decider_service::check_lease(bool is_wait_needed)
 {
     if (is_checking_ || is_stopped_)
         return;
@@ -177,19 +198,24 @@
     auto const key = rows::layout::lease_row();
     auto const asked_at = timers_.now();
     std::weak_ptr<bool> const alive = alive_;
-    store_.read({key.table, key.part, key.key, key.key + '\0', 1},
-                [this, alive, asked_at](rows::page const& page) {
-                    if (alive.expired())
-                        return;
-                    is_checking_ = false;
-                    if (!page.is_ok || page.rows.empty() ||
-                        page.rows[0].version != seen_version_)
-                        return;
-                    auto const now = timers_.now();
-                    if (now - lease_changed_at_ >
-                        takeover_after + slow_store_factor * (now - asked_at))
-                        try_acquire();
-                });
+    store_.read(
+        {key.table, key.part, key.key, key.key + '\0', 1},
+        [this, alive, asked_at, is_wait_needed](rows::page const& page) {
+            if (alive.expired())
+                return;
+            is_checking_ = false;
+            if (!page.is_ok || page.rows.empty())
+                return;
+            if (!is_wait_needed && page.rows[0].version > seen_version_)
+                observe_lease(page.rows[0]);
+            if (page.rows[0].version != seen_version_)
+                return;
+            auto const now = timers_.now();
+            if (!is_wait_needed ||
+                now - lease_changed_at_ >
+                    takeover_after + slow_store_factor * (now - asked_at))
+                try_acquire();
+        });
 }
 
 void decider_service::try_acquire()
@@ -200,7 +226,8 @@
     // An attempt without an answer is repeated unchanged, so that its own
     // earlier sending is recognised.
     if (!wanted_ || wanted_over_ != seen_version_) {
-        wanted_ = lease_record{options_.node, seen_lease_.term + 1, 0};
+        wanted_ = lease_record{options_.node, options_.address,
+                               seen_lease_.term + 1, 0};
         wanted_over_ = seen_version_;
         previous_holder_ = seen_lease_.holder;
     }
@@ -237,18 +264,9 @@
          {"previous", previous_holder_},
          {"unchanged_ms", (timers_.now() - lease_changed_at_).count()}});
     acquired_version_ = version;
-    commits_ = std::make_unique<commit_queue>(
-        store_, timers_, *wanted_, version,
-        [this](commit_queue::notice notice) {
-            if (notice == commit_queue::notice::lease_lost) {
-                // The queue must not be destroyed from its own callback.
-                resign_timer_ = timers_.after(core::duration(0), [this] {
-                    resign("another process holds the lease");
-                });
-                return;
-            }
-            decide_soon();
-        });
+    commit_observer& observer = *this;
+    commits_ = std::make_unique<commit_queue>(store_, timers_, *wanted_,
+                                              version, observer);
     wanted_.reset();
     loaded_orders_.clear();
     loaded_tables_ = 0;
@@ -258,7 +276,7 @@
                                      core::duration(1000),
                                      report_pause,
                                      {}},
-        [this](rows::row const& changed) { receive_report(changed, false); },
+        [this](rows::row const& changed) { observe_report(changed, false); },
         [this] { decide_soon(); });
     reports_->start();
     for (std::size_t table = 0; table < rows::layout::order_tables; ++table)
@@ -270,6 +288,7 @@
     core::log_event("lease_lost", {{"reason", std::string(reason)}});
     core_.reset();
     unordered_jobs_.clear();
+    announcements_.clear();
     reports_.reset();
     commits_.reset();
     decide_timer_.reset();
@@ -359,7 +378,7 @@
          {"workers", static_cast<std::int64_t>(reports_->rows().size())}});
     loaded_orders_.clear();
     for (auto const& [key, row] : reports_->rows())
-        receive_report(row, true);
+        observe_report(row, true);
     decide_soon();
 }
 
@@ -384,7 +403,7 @@
     }
 }
 
-void decider_service::receive_report(rows::row const& changed,
+void decider_service::observe_report(rows::row const& changed,
                                      bool is_from_loading)
 {
     if (core_ == nullptr || changed.is_removed)
@@ -406,6 +425,78 @@
     core_->receive(core::value(std::move(report)), heard_at);
 }
 
+bool decider_service::receive_report(std::string const& text)
+{
+    if (core_ == nullptr)
+        return false;
+    auto report = jobs::decode_report(text);
+    if (!core::is_ok(report)) {
+        core::log_event("report_unreadable",
+                        {{"fault", core::failure(report).message}});
+        return true;
+    }
+    core_->receive(core::value(std::move(report)), timers_.now());
+    decide_soon();
+    return true;
+}
+
+void decider_service::on_idle()
+{
+    decide_soon();
+}
+
+void decider_service::on_lease_lost()
+{
+    // The queue must not be destroyed from its own callback.
+    resign_timer_ = timers_.after(core::duration(0), [this] {
+        resign("another process holds the lease");
+    });
+}
+
+void decider_service::on_written(rows::transaction const& written,
+                                 rows::row_version version)
+{
+    std::map<std::string, notices::row_notice> by_address;
+    auto const port = options_.address.substr(options_.address.rfind(':'));
+    for (auto const& write : written.writes) {
+        auto const found = announcements_.find(write.key);
+        if (found == announcements_.end())
+            continue;
+        rows::row const row{write.key, write.value, version, false};
+        if (!found->second.agent.empty()) {
+            by_address[found->second.agent + port].rows.push_back(row);
+        } else {
+            for (auto const& entry : peers_.entries())
+                by_address[entry].rows.push_back(row);
+        }
+        announcements_.erase(found);
+    }
+    for (auto& [address, notice] : by_address) {
+        notice.decider_address = options_.address;
+        peers_.sender.send_rows(address, notice);
+    }
+}
+
+/// Writes changes, and remembers which of their rows to announce: the orders
+/// and the ends of urgent work, and stops that make room for it.
+void decider_service::write(std::vector<job_change> changes)
+{
+    for (auto const& change : changes) {
+        for (auto const& order : change.orders) {
+            bool const is_start =
+                order.what == order_change::kind::start && change.is_urgent;
+            if (is_start || order.what == order_change::kind::stop) {
+                auto const key = rows::layout::order_row(
+                    order.order.agent, to_text(order.order.run));
+                announcements_[key] = {order.order.agent};
+            }
+        }
+        if (change.has_just_finished && change.is_urgent)
+            announcements_[rows::layout::progress_row(change.job_id)] = {};
+    }
+    commits_->push(split_retired(std::move(changes)));
+}
+
 void decider_service::decide_soon()
 {
     has_news_ = true;
@@ -437,7 +528,7 @@
         return;
     log_changes(changes);
     observe_waits(changes);
-    commits_->push(split_retired(std::move(changes)));
+    write(std::move(changes));
 }
 
 void decider_service::observe_waits(std::vector<job_change> const& changes)
--- a/packages/scheduler/decider_service.hpp
+++ b/packages/scheduler/decider_service.hpp
@@ -2,6 +2,7 @@
 
 #include "event/timer_service.hpp"
 #include "jobs/rules.hpp"
+#include "notices/notice_sender.hpp"
 #include "rows/row_store.hpp"
 #include "rows/table_replica.hpp"
 #include "scheduler/commit_queue.hpp"
@@ -15,26 +16,38 @@
 
 /// Takes part in the election of the decider, and decides while it holds the
 /// lease. One entry at a time is the decider; the lease row says which.
-class decider_service
+class decider_service final : private commit_observer
 {
 public:
     struct options
     {
         std::string node; ///< name of this process
+        /// IP:PORT on which this process takes notices; agents take theirs on
+        /// the same port.
+        std::string address;
         scheduler_limits limits;
     };
 
+    /// How other processes are told at once.
+    struct peers
+    {
+        notices::notice_sender& sender;
+        /// Gives the addresses of the other entries.
+        std::function<std::vector<std::string>()> entries;
+    };
+
     /// @param store the store
     /// @param timers time
     /// @param work the copy of the table with the jobs; observe() has to be
     ///        called for each of its rows
     /// @param rules the rules in force
+    /// @param others how other processes are told
     /// @param settings names and limits
     decider_service(rows::row_store& store, event::timer_service& timers,
                     rows::table_replica const& work,
                     std::function<std::shared_ptr<jobs::rules const>()> rules,
-                    options settings);
-    ~decider_service();
+                    peers others, options settings);
+    ~decider_service() override;
 
     /// Begins to take part in elections.
     void start();
@@ -42,22 +55,48 @@
     /// Takes note of a changed row of the work table.
     void observe(rows::row const& changed);
 
+    /// Takes note of a report that an agent sent without the store.
+    /// @param text the encoded report
+    /// @return whether this process decides
+    bool receive_report(std::string const& text);
+
+    /// Tries to become the decider, since the present one cannot reach the
+    /// store.
+    void take_over();
+
+    /// Asks other entries to take over, if this process is the decider.
+    void ask_takeover();
+
     /// Gives the lease up, if it is held, and stops taking part.
     void stop();
 
+    /// @return where the decider takes notices; empty if it is not known
+    std::string const& decider_address() const { return seen_lease_.address; }
+
     bool is_decider() const { return commits_ != nullptr; }
 
 private:
+    /// To whom a row is announced once it is stored.
+    struct announcement
+    {
+        std::string agent; ///< empty for all entries
+    };
+
+    void on_written(rows::transaction const& written,
+                    rows::row_version version) override;
+    void on_idle() override;
+    void on_lease_lost() override;
+    void write(std::vector<job_change> changes);
     void observe_lease(rows::row const& changed);
     void tick();
     bool is_lease_vacant() const;
-    void check_lease();
+    void check_lease(bool is_wait_needed);
     void try_acquire();
     void receive_lease(rows::commit_result const& result);
     void become_decider(rows::row_version version);
     void resign(std::string_view reason);
     void load_orders(std::size_t table, std::string const& from);
-    void receive_report(rows::row const& changed, bool is_from_loading);
+    void observe_report(rows::row const& changed, bool is_from_loading);
     void build_core_if_loaded();
     void add_row(rows::row const& changed);
     void observe_waits(std::vector<job_change> const& changes);
@@ -71,6 +110,7 @@
     event::timer_service& timers_;
     rows::table_replica const& work_;
     std::function<std::shared_ptr<jobs::rules const>()> rules_;
+    peers peers_;
     options options_;
 
     lease_record seen_lease_;
@@ -92,6 +132,8 @@
     std::unique_ptr<scheduler_core> core_;
     /// Jobs without an order yet, and since when.
     std::map<std::string, core::time_point> unordered_jobs_;
+    /// Rows of urgent work that are on their way to the store.
+    std::map<rows::row_key, announcement> announcements_;
     bool has_news_ = false;
     std::int64_t wall_offset_ms_;
 
--- a/packages/scheduler/open_job.hpp
+++ b/packages/scheduler/open_job.hpp
@@ -80,6 +80,7 @@
     std::vector<order_change> orders;
     bool is_retired = false; ///< its rows are to be removed
     bool has_just_finished = false;
+    bool is_urgent = false;
 };
 
 } // namespace sequoiaroute::scheduler
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -95,6 +95,9 @@
 {
     auto const agent = report.agent;
     auto& view = workers_[agent];
+    // A report that was sent directly may arrive before an older stored one.
+    if (report.written_at < view.report.written_at)
+        return;
     if (view.report.worker.executor != report.worker.executor) {
         learned_.health.forget(agent);
         learned_.speed.forget(agent);
@@ -368,7 +371,8 @@
                      {task, run},
                      job.submission.spec.payload,
                      checkpoint_holder(job, task)->checkpoint,
-                     false};
+                     false,
+                     job.submission.terms.is_urgent()};
     job.progress.has_started = true;
     changes_.add_order(job, order_change::kind::start, started.order, {});
     runs_by_agent_.add(agent, task);
--- a/tests/agents/agent_service_test.cpp
+++ b/tests/agents/agent_service_test.cpp
@@ -3,6 +3,7 @@
 #include "jobs/row_codec.hpp"
 #include "rows/row_layout.hpp"
 #include "support/memory_row_store.hpp"
+#include "support/recorded_notices.hpp"
 
 #include <gtest/gtest.h>
 
@@ -90,7 +91,7 @@
 public:
     agent_service_test() : store(timers), executor(timers)
     {
-        agent.emplace(store, timers, executor,
+        agent.emplace(store, timers, executor, notices,
                       agent_service::options{"a", {6s, 1s}});
     }
 
@@ -130,6 +131,7 @@
     support::manual_timers timers;
     memory_row_store store;
     fake_executor executor;
+    support::recorded_notices notices;
     std::optional<agent_service> agent;
     std::int64_t sequence = 0;
 };
@@ -191,7 +193,7 @@
     executor.end(order.run, jobs::run_end::done);
     timers.advance(200ms);
     ASSERT_TRUE(executor.ended.empty());
-    agent.emplace(store, timers, executor,
+    agent.emplace(store, timers, executor, notices,
                   agent_service::options{"a", {6s, 1s}});
     agent->start();
     timers.advance(3s);
@@ -221,5 +223,43 @@
     EXPECT_FALSE(executor.running.contains(stray));
 }
 
+// Load: the store takes seconds for an answer. Guards against urgent work that
+// waits for the store's feed, and for the report of an end.
+TEST_F(agent_service_test, does_without_the_feed_for_urgent_work)
+{
+    begin();
+    store.reads = memory_row_store::fault::silent;
+    store.next_commits = memory_row_store::fault::silent;
+    auto order = make_order(0);
+    order.is_urgent = true;
+    rows::row row{rows::layout::order_row("a", to_text(order.run)),
+                  jobs::encode(order), 100, false};
+    agent->receive_notice({"10.0.0.1:7000", {row}});
+    timers.advance(50ms);
+    ASSERT_TRUE(executor.running.contains(order.run));
+    EXPECT_TRUE(notices.reports["10.0.0.1:7000"].empty());
+    executor.end(order.run, jobs::run_end::done);
+    timers.advance(200ms);
+    auto const& sent = notices.reports["10.0.0.1:7000"];
+    ASSERT_EQ(sent.size(), 1U);
+    auto const told = core::value(jobs::decode_report(sent[0]));
+    ASSERT_EQ(told.ended.size(), 1U);
+    EXPECT_EQ(told.ended[0].run, order.run);
+    // Only the stored report counts for the executor.
+    EXPECT_EQ(executor.highest_acknowledged, 0);
+}
+
+// Guards against reports that go to an entry that no longer decides.
+TEST_F(agent_service_test, forgets_a_decider_that_refuses_its_report)
+{
+    begin();
+    agent->receive_notice({"10.0.0.1:7000", {}});
+    notices.is_decider_there = false;
+    heartbeat(jobs::worker_state::draining);
+    EXPECT_EQ(notices.reports["10.0.0.1:7000"].size(), 1U);
+    heartbeat(jobs::worker_state::ready);
+    EXPECT_EQ(notices.reports["10.0.0.1:7000"].size(), 1U);
+}
+
 } // namespace
 } // namespace sequoiaroute::agents
--- a/tests/gateway/customer_service_test.cpp
+++ b/tests/gateway/customer_service_test.cpp
@@ -40,6 +40,20 @@
     std::optional<customer_reply> reply;
 };
 
+class recorded_writes final : public write_observer
+{
+public:
+    void on_written(rows::row const& written, bool is_urgent) override
+    {
+        rows.push_back(written);
+        if (is_urgent)
+            ++urgent_count;
+    }
+
+    std::vector<rows::row> rows;
+    std::size_t urgent_count = 0;
+};
+
 class customer_service_test : public testing::Test
 {
 public:
@@ -49,7 +63,7 @@
               store, timers,
               {std::string(rows::layout::work_table), 500ms, 0ms, {}},
               [this](rows::row const& changed) { directory.observe(changed); }),
-          service(monitored, timers, rules, work, directory, relay)
+          service(monitored, timers, rules, work, directory, relay, writes)
     {
         jobs::rules known;
         known.queues.resize(1);
@@ -101,6 +115,7 @@
     fixed_rules rules;
     job_directory directory;
     fake_relay relay;
+    recorded_writes writes;
     rows::table_replica work;
     customer_service service;
 };
@@ -251,5 +266,18 @@
               call_outcome::no_job);
 }
 
+// Guards against an announced job that is not stored.
+TEST_F(customer_service_test, tells_of_jobs_once_they_are_stored)
+{
+    EXPECT_EQ(submit("j1"), call_outcome::accepted);
+    ASSERT_EQ(writes.rows.size(), 1U);
+    EXPECT_EQ(writes.rows[0].key, rows::layout::job_row("j1"));
+    EXPECT_EQ(writes.rows[0].version,
+              store.find(rows::layout::job_row("j1"))->version);
+    store.next_commits = memory_row_store::fault::refused;
+    submit("j2", 3s);
+    EXPECT_EQ(writes.rows.size(), 1U);
+}
+
 } // namespace
 } // namespace sequoiaroute::gateway
--- a/tests/gateway/peer_relay_test.cpp
+++ b/tests/gateway/peer_relay_test.cpp
@@ -36,11 +36,11 @@
 public:
     peer_relay_test()
         : store(timers), monitored(store, timers),
-          relay(monitored, timers, peers, "10.0.0.1:7000")
+          entries(monitored, timers, "10.0.0.1:7000"), relay(entries, peers)
     {
         register_peer("10.0.0.2:7000");
         register_peer("10.0.0.3:7000");
-        relay.start();
+        entries.start();
         timers.advance(100ms);
     }
 
@@ -63,6 +63,7 @@
     support::memory_row_store store;
     rows::monitored_store monitored;
     scripted_peers peers;
+    entry_registry entries;
     peer_relay relay;
 };
 
--- a/tests/rows/table_replica_test.cpp
+++ b/tests/rows/table_replica_test.cpp
@@ -88,5 +88,34 @@
     EXPECT_LT(replica.age(), 1500ms);
 }
 
+// Load: the feed hears nothing for a second while rows are written.
+TEST_F(table_replica_test, takes_an_announced_row_before_the_feed_has_it)
+{
+    replica.start();
+    timers.advance(10ms);
+    store.reads = memory_row_store::fault::silent;
+    store.put(key("a"), "1");
+    replica.offer(*store.find(key("a")));
+    EXPECT_EQ(replica.rows().size(), 1U);
+    store.reads = memory_row_store::fault::none;
+    timers.advance(2s);
+    EXPECT_EQ(seen, (std::vector<std::string>{"+a"}));
+}
+
+// Guards against an order that is carried out again because its announcement
+// arrives after its removal.
+TEST_F(table_replica_test, leaves_out_an_announced_row_that_was_removed)
+{
+    replica.start();
+    store.put(key("a"), "1");
+    auto const announced = *store.find(key("a"));
+    store.commit({{}, {}, {key("a")}}, 100ms, [](auto const&) {});
+    timers.advance(10ms);
+    seen.clear();
+    replica.offer(announced);
+    EXPECT_TRUE(seen.empty());
+    EXPECT_TRUE(replica.rows().empty());
+}
+
 } // namespace
 } // namespace sequoiaroute::rows
--- a/tests/scheduler/decider_service_test.cpp
+++ b/tests/scheduler/decider_service_test.cpp
@@ -3,6 +3,7 @@
 #include "jobs/row_codec.hpp"
 #include "rows/row_layout.hpp"
 #include "support/memory_row_store.hpp"
+#include "support/recorded_notices.hpp"
 #include "support/worker_reports.hpp"
 
 #include <gtest/gtest.h>
@@ -24,12 +25,18 @@
                 [this](rows::row const& changed) { decider.observe(changed); }),
           decider(store, timers, work_,
                   [] { return std::make_shared<jobs::rules const>(); },
-                  {std::move(name), {}})
+                  {notices, [] { return std::vector{other_address}; }},
+                  {std::move(name), own_address, {}})
     {
         work_.start();
         decider.start();
     }
 
+    inline static std::string const own_address = "10.0.0.1:7000";
+    inline static std::string const other_address = "10.0.0.2:7000";
+
+    support::recorded_notices notices;
+
 private:
     rows::table_replica work_;
 
@@ -49,11 +56,11 @@
         store.put(rows::layout::report_row(agent), jobs::encode(report));
     }
 
-    void add_job(std::string const& id)
+    void add_job(std::string const& id, std::int32_t priority = 1)
     {
         jobs::submission job;
         job.job_id = id;
-        job.terms = {"q", "s", 1, 2, 3, 1s};
+        job.terms = {"q", "s", priority, 2, 3, 1s};
         job.spec.steps.resize(1);
         job.spec.steps[0].task = {1000, 1000, 1};
         store.put(rows::layout::job_row(id), jobs::encode(job));
@@ -175,5 +182,64 @@
     EXPECT_FALSE(order("j", 2));
 }
 
+// Load: the store's feeds are silent for a second. Guards against urgent work
+// that waits for them.
+TEST_F(decider_service_test, announces_urgent_orders_and_ends)
+{
+    entry only(store, timers, "one");
+    add_worker("a");
+    timers.advance(1s);
+    add_job("patient");
+    add_job("urgent", 0);
+    timers.advance(100ms);
+    auto const& sent = only.notices.rows["a:7000"];
+    ASSERT_EQ(sent.size(), 1U);
+    EXPECT_EQ(sent[0].decider_address, entry::own_address);
+    ASSERT_EQ(sent[0].rows.size(), 1U);
+    auto const stored = order("urgent");
+    ASSERT_TRUE(stored);
+    EXPECT_EQ(sent[0].rows[0].key, stored->key);
+    EXPECT_EQ(sent[0].rows[0].version, stored->version);
+    auto report = support::make_worker_report("a");
+    report.written_at = timers.now().time_since_epoch();
+    report.ended = {{{{"urgent", 0, 0, 0}, 1}, jobs::run_end::done, ""}};
+    EXPECT_TRUE(only.decider.receive_report(jobs::encode(report)));
+    timers.advance(100ms);
+    auto const& ends = only.notices.rows[entry::other_address];
+    ASSERT_EQ(ends.size(), 1U);
+    EXPECT_EQ(ends[0].rows.at(0).key, rows::layout::progress_row("urgent"));
+}
+
+TEST_F(decider_service_test, takes_reports_only_while_it_decides)
+{
+    entry first(store, timers, "one");
+    timers.advance(1s);
+    entry second(store, timers, "two");
+    timers.advance(1s);
+    auto const report = jobs::encode(support::make_worker_report("a"));
+    EXPECT_TRUE(first.decider.receive_report(report));
+    EXPECT_FALSE(second.decider.receive_report(report));
+}
+
+// Load: the store refuses the decider and serves the other entries. Guards
+// against a second in which nobody decides.
+TEST_F(decider_service_test, takes_over_at_once_when_asked)
+{
+    entry first(store, timers, "one");
+    timers.advance(1s);
+    entry second(store, timers, "two");
+    timers.advance(1s);
+    ASSERT_TRUE(first.decider.is_decider());
+    first.decider.ask_takeover();
+    second.decider.ask_takeover();
+    EXPECT_EQ(first.notices.asked, std::vector{entry::other_address});
+    EXPECT_TRUE(second.notices.asked.empty());
+    second.decider.take_over();
+    timers.advance(50ms);
+    EXPECT_TRUE(second.decider.is_decider());
+    timers.advance(1s);
+    EXPECT_FALSE(first.decider.is_decider());
+}
+
 } // namespace
 } // namespace sequoiaroute::scheduler
--- a/tests/scheduler/scheduler_core_test.cpp
+++ b/tests/scheduler/scheduler_core_test.cpp
@@ -388,6 +388,22 @@
     EXPECT_EQ(next[0].run.task.job_id, "in-time");
 }
 
+// Guards against a report that went through the store and arrives after a newer
+// one that was sent directly.
+TEST_F(scheduler_core_test, leaves_out_a_report_that_is_older)
+{
+    add_worker("a");
+    auto leaving = reports_.at("a");
+    leaving.written_at = 2s;
+    leaving.worker.state = jobs::worker_state::draining;
+    core_.receive(leaving, now_);
+    auto older = reports_.at("a");
+    older.written_at = 1s;
+    core_.receive(older, now_);
+    add_job("j", 1, 1);
+    EXPECT_TRUE(decide_starts().empty());
+}
+
 // Guards against a log that tells the end of a job several times.
 TEST_F(scheduler_core_test, says_once_that_a_job_has_finished)
 {
--- /dev/null
+++ b/tests/support/recorded_notices.hpp
@@ -0,0 +1,39 @@
+#pragma once
+
+#include "notices/notice_sender.hpp"
+
+#include <map>
+#include <string>
+#include <vector>
+
+namespace sequoiaroute::support {
+
+/// Keeps the notices that were sent.
+class recorded_notices final : public notices::notice_sender
+{
+public:
+    void send_rows(std::string const& address,
+                   notices::row_notice const& notice) override
+    {
+        rows[address].push_back(notice);
+    }
+
+    void send_report(std::string const& address, std::string report,
+                     std::function<void(bool)> done) override
+    {
+        reports[address].push_back(std::move(report));
+        done(is_decider_there);
+    }
+
+    void ask_takeover(std::string const& address) override
+    {
+        asked.push_back(address);
+    }
+
+    std::map<std::string, std::vector<notices::row_notice>> rows;
+    std::map<std::string, std::vector<std::string>> reports;
+    std::vector<std::string> asked;
+    bool is_decider_there = true;
+};
+
+} // namespace sequoiaroute::support
