placement: Find room for urgent gangs cheaply and on fast workers

Each victim that was tried copied all workers; a wide gang on a fleet full of small tasks took 480 tries per scope on an eighth of a core.

Ruled out: fewer victims, which would leave gangs waiting.

The speed of a worker is learned from the first quarter of a run (run_lessons). Room is taken back from workers that are not slow, if that fits the budget. Running groups are collected only for rounds that may stop any.

A last try of a customer is refused at once while the store is away.

--- a/packages/gateway/customer_service.cpp
+++ b/packages/gateway/customer_service.cpp
@@ -19,7 +19,6 @@
 constexpr core::duration oldest_ready_copy{3000};
 /// Less time than this is not enough for a write.
 constexpr core::duration least_write_time{100};
-constexpr core::duration last_refusal_reserve{250};
 /// Writes are repeated until this much of the caller's time is left.
 constexpr core::duration answer_reserve{150};
 constexpr core::duration default_time_limit{2000};
@@ -257,22 +256,18 @@
                   });
 }
 
-/// A write that was not sent is refused while its customer has time to come
-/// back; one that comes back for the last time, or whose outcome is open,
-/// waits for the store.
+/// A write that was not sent is refused at once: the store's outages last
+/// longer than what its customer has left. One whose outcome is open waits for
+/// the store, since it cannot be answered truly yet.
 void customer_service::wait_for_store(
     std::shared_ptr<pending_write> const& write)
 {
     auto const left = write->give_up_at - timers_.now();
-    if (!write->may_be_done && left > store_retry_after + least_write_time)
-        return give_up(write);
-    // Refused with some time left, the customer may still try elsewhere.
-    auto const wait = write->may_be_done ? left : left - last_refusal_reserve;
-    if (wait <= core::duration(0))
+    if (!write->may_be_done || left <= core::duration(0))
         return give_up(write);
     waiting_.push_back(write);
     std::weak_ptr<pending_write> const weak = write;
-    write->retry_timer = timers_.after(wait, [this, weak] {
+    write->retry_timer = timers_.after(left, [this, weak] {
         if (auto const expired = weak.lock()) {
             waiting_.remove(expired);
             give_up(expired);
--- a/packages/scheduler/open_job.hpp
+++ b/packages/scheduler/open_job.hpp
@@ -40,6 +40,9 @@
     /// An ended member says that yet another one had ended before.
     bool is_gang_over = false;
 
+    /// Its progress has told how fast its worker is.
+    bool is_speed_known = false;
+
     bool is_stopping() const { return order.is_to_stop; }
 };
 
--- a/packages/scheduler/run_end_recorder.cpp
+++ b/packages/scheduler/run_end_recorder.cpp
@@ -2,8 +2,6 @@
 
 #include "scheduler/job_tasks.hpp"
 
-#include <fmt/format.h>
-
 namespace sequoiaroute::scheduler {
 
 void run_end_recorder::record(open_job& job, assignments::iterator run,
@@ -12,7 +10,7 @@
 {
     auto const order = run->second.order;
     if (end == jobs::run_end::done)
-        learn_run_time(job, run->second, now);
+        lessons_.observe_success(job, run->second, now);
     index_.remove(order.agent, order.run.task);
     job.assignments.erase(run);
     changes_.add_order(job, order_change::kind::remove, order, jobs::name(end));
@@ -23,14 +21,14 @@
         checkpoint_holder(job, order.run.task)->checkpoint = checkpoint;
     switch (end) {
     case jobs::run_end::done:
-        learned_.health.record_success(order.agent);
+        lessons_.health.record_success(order.agent);
         mark_done(job, order.run.task);
         break;
     case jobs::run_end::failed:
         record_failure(job, order, now);
         break;
     case jobs::run_end::refused:
-        learned_.health.record_refusal(order.agent, now);
+        lessons_.health.record_refusal(order.agent, now);
         break;
     default:
         break;
@@ -38,25 +36,6 @@
     break_gang(job, order.run, end, now);
 }
 
-void run_end_recorder::learn_run_time(open_job const& job,
-                                      assignment const& run,
-                                      core::time_point now)
-{
-    auto const& task = run.order.run.task;
-    auto const& step = step_of(job, task);
-    // A run from a checkpoint has less to do.
-    if (!run.order.checkpoint.empty())
-        return;
-    auto const taken = now - run.ordered_at;
-    learned_.run_times.record(job.submission.terms.queue, step.estimate, taken);
-    // The members of a gang end together, so they tell nothing of how fast
-    // each worker is.
-    if (step.is_gang)
-        return;
-    learned_.speed.record(run.order.agent,
-                          fmt::format("{}.{}", task.job_id, task.step), taken);
-}
-
 void run_end_recorder::mark_done(open_job& job, jobs::task_id const& task)
 {
     auto const& step = step_of(job, task);
@@ -79,7 +58,7 @@
 {
     auto const& id = order.run.task;
     auto const& step = step_of(job, id);
-    learned_.health.record_failure(order.agent, id.job_id, now);
+    lessons_.health.record_failure(order.agent, id.job_id, now);
     job.failed_on[key_of(id)][order.agent] = now;
     if (step.is_long_running)
         return;
--- a/packages/scheduler/run_end_recorder.hpp
+++ b/packages/scheduler/run_end_recorder.hpp
@@ -1,10 +1,8 @@
 #pragma once
 
-#include "placement/worker_health.hpp"
-#include "placement/worker_speed.hpp"
 #include "scheduler/assignment_index.hpp"
 #include "scheduler/change_list.hpp"
-#include "scheduler/run_time_estimator.hpp"
+#include "scheduler/run_lessons.hpp"
 
 namespace sequoiaroute::scheduler {
 
@@ -15,20 +13,12 @@
 public:
     using assignments = std::map<jobs::task_id, assignment>;
 
-    /// What ends teach of workers and run times.
-    struct lessons
-    {
-        placement::worker_health health;
-        placement::worker_speed speed;
-        run_time_estimator run_times;
-    };
-
     /// @param changes receives what has to be stored
     /// @param index the runs by agent
-    /// @param learned what ends teach
+    /// @param lessons learn from the ends
     run_end_recorder(change_list& changes, assignment_index& index,
-                     lessons& learned)
-        : changes_(changes), index_(index), learned_(learned)
+                     run_lessons& lessons)
+        : changes_(changes), index_(index), lessons_(lessons)
     {
     }
 
@@ -42,8 +32,6 @@
                 std::string const& checkpoint, core::time_point now);
 
 private:
-    void learn_run_time(open_job const& job, assignment const& run,
-                        core::time_point now);
     void mark_done(open_job& job, jobs::task_id const& task);
     void record_failure(open_job& job, jobs::run_order const& order,
                         core::time_point now);
@@ -52,7 +40,7 @@
 
     change_list& changes_;
     assignment_index& index_;
-    lessons& learned_;
+    run_lessons& lessons_;
 };
 
 } // namespace sequoiaroute::scheduler
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -99,8 +99,7 @@
     if (report.written_at < view.report.written_at)
         return;
     if (view.report.worker.executor != report.worker.executor) {
-        learned_.health.forget(agent);
-        learned_.speed.forget(agent);
+        lessons_.forget(agent);
     }
     view.report = std::move(report);
     view.heard_at = now;
@@ -128,6 +127,7 @@
         }
         known.percent = task.percent;
         known.observed_at = now;
+        lessons_.observe_progress(job->second, known);
     }
 }
 
@@ -305,7 +305,7 @@
             if (view.report.worker.state != jobs::worker_state::draining)
                 continue;
             auto const leaves_at = view.heard_at + view.report.worker.remaining;
-            if (now + estimate_remaining(job, run, learned_.run_times, now) >
+            if (now + estimate_remaining(job, run, lessons_.run_times, now) >
                 leaves_at)
                 stop_step(job, task, "worker leaves before the end");
         }
@@ -315,10 +315,16 @@
 void scheduler_core::place(core::time_point now)
 {
     auto const waiting =
-        collect_waiting(jobs_, *rules_, learned_.run_times, now);
+        collect_waiting(jobs_, *rules_, lessons_.run_times, now);
     if (waiting.empty())
         return;
-    auto const running = collect_running(jobs_, now);
+    // Only urgent groups may stop others.
+    bool const may_preempt =
+        std::any_of(waiting.begin(), waiting.end(), [](auto const& entry) {
+            return entry.group.preemption_budget > 0;
+        });
+    auto const running = may_preempt ? collect_running(jobs_, now)
+                                     : std::vector<running_tasks>();
     std::vector<placement::waiting_group> waiting_groups;
     waiting_groups.reserve(waiting.size());
     for (auto const& entry : waiting)
@@ -328,7 +334,7 @@
     for (auto const& entry : running)
         running_groups.push_back(entry.group);
     auto const result = placement::run_round(
-        collect_workers(workers_, jobs_, learned_.health, learned_.speed, now,
+        collect_workers(workers_, jobs_, lessons_.health, lessons_.speed, now,
                         limits_.report_fresh),
         waiting_groups, running_groups);
     for (auto const& placed : result.placed) {
--- a/packages/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/scheduler_core.hpp
@@ -45,7 +45,7 @@
 {
 public:
     explicit scheduler_core(scheduler_limits limits)
-        : limits_(limits), ends_(changes_, runs_by_agent_, learned_)
+        : limits_(limits), ends_(changes_, runs_by_agent_, lessons_)
     {
     }
     scheduler_core(scheduler_core const&) = delete;
@@ -102,7 +102,7 @@
         std::make_shared<jobs::rules const>();
     job_map jobs_;
     worker_map workers_;
-    run_end_recorder::lessons learned_;
+    run_lessons lessons_;
     change_list changes_;
     assignment_index runs_by_agent_;
     run_end_recorder ends_;
--- a/tests/placement/placement_round_test.cpp
+++ b/tests/placement/placement_round_test.cpp
@@ -190,6 +190,23 @@
     EXPECT_EQ(fit_group(workers, gang, &worker::free), (agents{"slow"}));
 }
 
+// Load: room has to be taken back, and the wait for it uses up what the gang
+// can spare. Guards against room on a slow worker, where it would be late.
+TEST(placement_round, takes_room_back_from_fast_workers)
+{
+    full_fleet fleet;
+    fleet.workers[1].slowness = 3;
+    auto urgent = make_group(1, 8);
+    urgent.priority = 0;
+    urgent.preemption_budget = 1000;
+    std::vector<waiting_group> waiting{urgent};
+    EXPECT_EQ(run_round(fleet.workers, waiting, fleet.running).stopped,
+              (std::vector<std::size_t>{0}));
+    waiting[0].preemption_budget = 100;
+    EXPECT_EQ(run_round(fleet.workers, waiting, fleet.running).stopped,
+              (std::vector<std::size_t>{1}));
+}
+
 TEST(worker_speed, compares_equal_tasks)
 {
     worker_speed speed;
--- a/tests/scheduler/scheduler_core_test.cpp
+++ b/tests/scheduler/scheduler_core_test.cpp
@@ -388,6 +388,31 @@
     EXPECT_EQ(next[0].run.task.job_id, "in-time");
 }
 
+// Load: a third of the workers is slow, and a day is short. Guards against a
+// decider that learns it only when the first tasks have ended.
+TEST_F(scheduler_core_test, learns_from_progress_which_workers_are_slow)
+{
+    for (auto const* agent : {"a", "b", "c", "d", "e"})
+        add_worker(agent);
+    add_job("scan", 5, 8);
+    auto const scan = decide_starts();
+    ASSERT_EQ(scan.size(), 5U);
+    for (auto const& order : scan)
+        report_running(order, 0);
+    now_ += 3s;
+    for (auto const& order : scan)
+        report_running(order, order.agent == "e" ? 30 : 45);
+    core_.cancel("scan");
+    decide();
+    for (auto const& order : scan)
+        report_end(order, jobs::run_end::stopped);
+    add_job("urgent", 4, 8, true, 0);
+    auto const urgent = decide_starts();
+    ASSERT_EQ(urgent.size(), 4U);
+    for (auto const& order : urgent)
+        EXPECT_NE(order.agent, "e");
+}
+
 // Guards against a report that went through the store and arrives after a newer
 // one that was sent directly.
 TEST_F(scheduler_core_test, leaves_out_a_report_that_is_older)
