scheduler: Get tickets for queues that need advice, and pace fillers

Ruled out: tickets for all executors at once. The service answers one call at a time and needs 30 ms for each executor there.

Change: advice_planner asks about 30 executors, those with room first, and again only about those of the place whose tickets are too old; the decider asks for the most urgent step. Orders carry the ticket. Fillers take no processor room; pace_controller cuts their share by 60 % every 0.6 s while a serving task beside them is over its target, and gives it back in steps of 10. Workers that hold fillers back take no more of them, and a filler that is held back does not count as standing still.

--- a/packages/agents/agent_service.cpp
+++ b/packages/agents/agent_service.cpp
@@ -16,6 +16,8 @@
 /// How often an unchanged report is written, to show that the agent is there.
 constexpr core::duration report_period{1200};
 constexpr core::duration hold_wait{1000};
+/// Response times are read this often while fillers run beside serving tasks.
+constexpr core::duration paced_hold_wait{300};
 constexpr core::duration retry_delay{150};
 constexpr core::duration longest_publish_delay{600};
 constexpr core::duration look_period{60};
@@ -273,8 +275,9 @@
     bool const has_clock = clock_read_at_ != core::time_point{};
     std::weak_ptr<bool> const alive = alive_;
     // The first call of all learns the clock and must not wait.
+    auto const wait = pace_.is_needed() ? paced_hold_wait : hold_wait;
     runtime_.hold(acknowledged_, extend_lease(),
-                  has_clock ? hold_wait : core::duration(0),
+                  has_clock ? wait : core::duration(0),
                   [this, alive, asked_at](executor_lists const& lists) {
                       if (alive.expired())
                           return;
@@ -335,6 +338,7 @@
                          {"number", end.number}});
     }
     stop_unordered();
+    pace_fillers();
     act();
     publish_if_due();
     // Ends stay listed until the report is stored; asking again at once would
@@ -367,6 +371,21 @@
         receive_goodbye(worker_.executor.id);
 }
 
+void agent_service::pace_fillers()
+{
+    for (auto const& change :
+         pace_.update(book_.pace_subjects(), timers_.now())) {
+        core::log_event("run_paced", {{"run", to_text(change.run)},
+                                      {"percent", change.percent}});
+        std::weak_ptr<bool> const alive = alive_;
+        runtime_.pace(change.run, change.percent,
+                      [this, alive, run = change.run](bool is_set) {
+                          if (!alive.expired() && !is_set)
+                              pace_.forget(run);
+                      });
+    }
+}
+
 void agent_service::stop_unordered()
 {
     for (auto const& run : book_.unordered()) {
@@ -386,7 +405,10 @@
     // The decider leaves out reports that are older than the last one.
     auto const written_at =
         std::max(store_time, earlier_report_at_ + core::duration(1));
-    return {options_.agent, written_at, worker_, book_.running(),
+    auto running = book_.running();
+    for (auto& task : running)
+        task.share = pace_.share_of(task.run);
+    return {options_.agent, written_at, worker_, std::move(running),
             book_.ended()};
 }
 
--- a/packages/agents/agent_service.hpp
+++ b/packages/agents/agent_service.hpp
@@ -66,6 +66,7 @@
     void receive_lists(executor_lists const& lists, core::time_point asked_at);
     void receive_silence(bool is_refused);
     void stop_unordered();
+    void pace_fillers();
     void update_executor(jobs::worker_description worker);
 
     void publish_if_due();
@@ -86,6 +87,7 @@
     options options_;
     rows::table_replica orders_;
     run_book book_;
+    pace_controller pace_;
     jobs::worker_description worker_;
     std::int64_t sequence_ = 0;
     bool is_serving_ = false;
--- a/packages/agents/executor_runtime.hpp
+++ b/packages/agents/executor_runtime.hpp
@@ -72,6 +72,13 @@
     virtual void stop(jobs::run_order const& order,
                       std::function<void(order_reply)> done) = 0;
 
+    /// Sets the share at which a run works.
+    /// @param run the run
+    /// @param percent 0 to 100
+    /// @param done receives whether it is set
+    virtual void pace(jobs::run_id const& run, std::int32_t percent,
+                      std::function<void(bool)> done) = 0;
+
     /// Extends the lease and reads the lists.
     /// @param acknowledged ends up to this number are forgotten
     /// @param lease_until_ms the new end of the lease, if it is extended
--- a/packages/agents/run_book.cpp
+++ b/packages/agents/run_book.cpp
@@ -198,6 +198,19 @@
     return result;
 }
 
+std::vector<pace_controller::subject> run_book::pace_subjects() const
+{
+    std::vector<pace_controller::subject> subjects;
+    for (auto const& [run, target] : runs_) {
+        if (!target.running || target.ended)
+            continue;
+        subjects.push_back({run, target.order.is_filler,
+                            target.order.response_target,
+                            target.running->response_time});
+    }
+    return subjects;
+}
+
 std::vector<jobs::ended_task> run_book::ended() const
 {
     std::vector<jobs::ended_task> result;
--- a/packages/agents/run_book.hpp
+++ b/packages/agents/run_book.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "agents/executor_runtime.hpp"
+#include "agents/pace_controller.hpp"
 #include "core/clock.hpp"
 #include "jobs/worker_report.hpp"
 
@@ -66,6 +67,9 @@
     std::vector<jobs::run_id> const& unordered() const { return unordered_; }
 
     std::vector<jobs::running_task> running() const;
+
+    /// @return what runs, as far as it matters for the pace of fillers
+    std::vector<pace_controller::subject> pace_subjects() const;
     std::vector<jobs::ended_task> ended() const;
 
     /// @return a number that changes with each new end
--- a/packages/jobs/job_spec.hpp
+++ b/packages/jobs/job_spec.hpp
@@ -32,12 +32,24 @@
     /// How many tasks of a long-running step may be away at the same time by
     /// the system's own doing; 0 if the customer did not say.
     std::int32_t allowed_absences = 0;
+    /// The tasks serve users, and their answers must not take longer; 0 if they
+    /// serve nobody.
+    core::duration response_target{0};
+    /// The tasks use what the other tasks of a worker leave of its processors.
+    bool is_filler = false;
     /// A label that the worker must have; empty for any worker.
     std::string required_label;
     /// The rack of the data; elsewhere the tasks are slowed down.
     std::string data_rack;
     /// How many tasks of the step one worker may run; 0 for any number.
     std::int32_t max_per_worker = 0;
+
+    /// @return what a task takes of a worker's room
+    resources room() const
+    {
+        return {is_filler ? 0 : task.millicores, task.memory_mb,
+                task.accelerators};
+    }
 };
 
 /// A job as the customer describes it.
@@ -76,6 +88,10 @@
     double objective_factor = 1;
     /// ... and this much more.
     core::duration objective_slack{0};
+    /// How long a ticket of the advice service holds; 0 if starts need none.
+    core::duration ticket_validity{0};
+
+    bool needs_tickets() const { return ticket_validity > core::duration(0); }
 };
 
 /// An accepted job.
--- a/packages/jobs/row_codec.cpp
+++ b/packages/jobs/row_codec.cpp
@@ -43,6 +43,10 @@
         document["long_running"] = true;
     if (step.allowed_absences > 0)
         document["allowed_absences"] = step.allowed_absences;
+    if (step.response_target > core::duration(0))
+        document["response_target_ms"] = step.response_target.count();
+    if (step.is_filler)
+        document["filler"] = true;
     if (!step.required_label.empty())
         document["label"] = step.required_label;
     if (!step.data_rack.empty())
@@ -65,6 +69,9 @@
     step.is_speculative = document.value("speculative", false);
     step.is_long_running = document.value("long_running", false);
     step.allowed_absences = document.value("allowed_absences", 0);
+    step.response_target =
+        core::duration(document.value("response_target_ms", std::int64_t{0}));
+    step.is_filler = document.value("filler", false);
     step.required_label = document.value("label", "");
     step.data_rack = document.value("data_rack", "");
     step.max_per_worker = document.value("max_per_worker", 0);
@@ -179,6 +186,8 @@
                   {"objective_ms", value.terms.objective_slack.count()},
                   {"payload", value.spec.payload},
                   {"steps", std::move(steps)}};
+    if (value.terms.needs_tickets())
+        document["ticket_validity_ms"] = value.terms.ticket_validity.count();
     if (value.spec.is_repeated()) {
         document["repeats"] = value.spec.repeats;
         document["first_due_ms"] = value.spec.first_due_ms;
@@ -200,6 +209,8 @@
         value.terms.objective_factor = document.at("objective_factor");
         value.terms.objective_slack =
             core::duration(document.at("objective_ms"));
+        value.terms.ticket_validity = core::duration(
+            document.value("ticket_validity_ms", std::int64_t{0}));
         value.spec.payload = document.at("payload");
         for (auto const& step : document.at("steps"))
             value.spec.steps.push_back(step_from(step));
@@ -243,7 +254,8 @@
 {
     json running = json::array();
     for (auto const& task : value.running) {
-        running.push_back({to_json(task.run), task.checkpoint, task.percent});
+        running.push_back(
+            {to_json(task.run), task.checkpoint, task.percent, task.share});
     }
     json ended = json::array();
     for (auto const& task : value.ended)
@@ -263,8 +275,9 @@
         value.written_at = core::duration(document.at("written_at_ms"));
         value.worker = worker_from(document.at("worker"));
         for (auto const& task : document.at("running")) {
-            value.running.push_back(
-                {run_from(task.at(0)), task.at(1), task.at(2)});
+            value.running.push_back({run_from(task.at(0)), task.at(1),
+                                     task.at(2), task.at(3),
+                                     core::duration(0)});
         }
         for (auto const& task : document.at("ended")) {
             value.ended.push_back({run_from(task.at(0)),
@@ -287,6 +300,12 @@
         document["stop"] = true;
     if (value.is_urgent)
         document["urgent"] = true;
+    if (!value.ticket.empty())
+        document["ticket"] = value.ticket;
+    if (value.response_target > core::duration(0))
+        document["response_target_ms"] = value.response_target.count();
+    if (value.is_filler)
+        document["filler"] = true;
     return dump(document);
 }
 
@@ -301,6 +320,10 @@
         value.checkpoint = document.at("checkpoint");
         value.is_to_stop = document.value("stop", false);
         value.is_urgent = document.value("urgent", false);
+        value.ticket = document.value("ticket", "");
+        value.response_target = core::duration(
+            document.value("response_target_ms", std::int64_t{0}));
+        value.is_filler = document.value("filler", false);
         return value;
     });
 }
--- a/packages/jobs/worker_report.hpp
+++ b/packages/jobs/worker_report.hpp
@@ -72,6 +72,11 @@
     run_id run;
     std::string checkpoint;
     std::int32_t percent = 0;
+    /// The share, in percent, at which it may work.
+    std::int32_t share = 100;
+    /// Of a task that serves users: how long its answers took lately. It is
+    /// not reported.
+    core::duration response_time{0};
 
     bool operator==(running_task const&) const = default;
 };
@@ -111,6 +116,12 @@
     bool is_to_stop = false;
     /// Its job is urgent, so the decider is told of its end at once.
     bool is_urgent = false;
+    /// Proves to the executor that it may run the task; empty if its queue
+    /// needs no proof.
+    std::string ticket;
+    /// As in the step: what the agent needs to pace the run.
+    core::duration response_target{0};
+    bool is_filler = false;
 };
 
 } // namespace sequoiaroute::jobs
--- a/packages/placement/group_fit.cpp
+++ b/packages/placement/group_fit.cpp
@@ -52,7 +52,10 @@
     return worker.is_accepting && worker.service == group.service &&
            has_label(worker, group.required_label) &&
            group.task.fits_into(worker.capacity) &&
-           !group.avoided.contains(worker.agent);
+           !group.avoided.contains(worker.agent) &&
+           !(group.is_filler && worker.holds_fillers_back) &&
+           (!group.allowed_executors ||
+            group.allowed_executors->contains(worker.executor));
 }
 
 std::size_t slots_on(worker const& worker, resources const& room,
--- a/packages/placement/placement_round.hpp
+++ b/packages/placement/placement_round.hpp
@@ -5,6 +5,7 @@
 
 #include <cstddef>
 #include <map>
+#include <optional>
 #include <set>
 #include <span>
 #include <string>
@@ -16,6 +17,7 @@
 struct worker
 {
     std::string agent;
+    std::string executor; ///< the id of its executor
     std::string service;
     std::string rack;
     std::vector<std::string> labels;
@@ -25,6 +27,8 @@
     /// What is free once all runs that are being stopped have ended.
     jobs::resources free_soon;
     bool is_accepting = true;
+    /// Its fillers may not work fully, since they slow serving tasks.
+    bool holds_fillers_back = false;
     /// Of two workers that fit alike, the one with less goes first.
     double penalty = 0;
     /// Its run times in tenths relative to others; above 0 for slower ones.
@@ -40,6 +44,7 @@
     jobs::resources task;
     bool is_gang = false; ///< all tasks start together, or none
     bool is_rack_local = false;
+    bool is_filler = false;
     std::string data_rack;
     std::string required_label;
     std::size_t max_per_worker = 0; ///< 0 for any number
@@ -47,6 +52,8 @@
     std::map<std::string, std::size_t> running_on;
     /// Agents that failed these tasks before.
     std::set<std::string> avoided;
+    /// The executors that may run the tasks; nothing if all may.
+    std::optional<std::set<std::string>> allowed_executors;
     std::int32_t priority = 0;
     /// Its customer's guarantee covers it, so room is taken back for it.
     bool is_guaranteed = false;
--- a/packages/programs/schedule_entry.cpp
+++ b/packages/programs/schedule_entry.cpp
@@ -1,5 +1,6 @@
 #include "programs/schedule_entry.hpp"
 
+#include "advice_client.hpp"
 #include "core/event_log.hpp"
 #include "core/settings.hpp"
 #include "customer_server.hpp"
@@ -52,6 +53,7 @@
         {"listen", "entries", setting_type::address, {}, true},
         {"listen", "metrics", setting_type::address, {}, true},
         {"store", "address", setting_type::address, {}, true},
+        {"advice", "address", setting_type::address_list, {}, false},
         {"bounds", "lease", setting_type::time, "6s", false},
         {"bounds", "stop", setting_type::time, "1s", false},
         {"bounds", "grace", setting_type::time, "6s", false},
@@ -94,9 +96,9 @@
           entries_(store_, *loop_, settings_.text("listen.entries")),
           relay_(entries_, client_),
           customers_(store_, *loop_, rules_, work_, directory_, relay_, *this),
-          notices_(client_),
+          notices_(client_), advice_(client_, settings_.text("advice.address")),
           decider_(store_, *loop_, work_, [this] { return rules_.current(); },
-                   {notices_, [this] { return entries_.others(); }},
+                   {notices_, [this] { return entries_.others(); }}, advice_,
                    {settings_.text("process.node"),
                     settings_.text("listen.entries"), limits_from(settings_)})
     {
@@ -251,6 +253,7 @@
     gateway::peer_relay relay_;
     gateway::customer_service customers_;
     notices::http_notice_sender notices_;
+    adapter::advice_client advice_;
     scheduler::decider_service decider_;
     std::unique_ptr<adapter::customer_server> customer_server_;
     std::unique_ptr<event::http_server> readiness_server_;
--- a/packages/scheduler/decider_service.cpp
+++ b/packages/scheduler/decider_service.cpp
@@ -28,6 +28,7 @@
 constexpr core::duration report_pause{20};
 constexpr core::duration lease_timeout{1000};
 constexpr core::duration load_retry{150};
+constexpr core::duration advice_retry{200};
 /// How many entries are asked to take over; one is enough.
 constexpr std::size_t entries_asked = 2;
 
@@ -105,9 +106,9 @@
     rows::row_store& store, event::timer_service& timers,
     rows::table_replica const& work,
     std::function<std::shared_ptr<jobs::rules const>()> rules, peers others,
-    options settings)
+    advice_service& advice, options settings)
     : store_(store), timers_(timers), work_(work), rules_(std::move(rules)),
-      peers_(std::move(others)), options_(std::move(settings)),
+      peers_(std::move(others)), advice_(advice), options_(std::move(settings)),
       // The time of day may jump later; the steady clock does not.
       wall_offset_ms_(wall_now_ms() - timers.now().time_since_epoch().count())
 {
@@ -524,6 +525,7 @@
     metrics::observe(metrics::stage::decision,
                      changes.empty() ? "unchanged" : "changed",
                      timers_.now() - began_at);
+    ask_advice();
     if (changes.empty())
         return;
     log_changes(changes);
@@ -531,6 +533,39 @@
     write(std::move(changes));
 }
 
+/// Asks for the most urgent step; the service answers one call at a time.
+void decider_service::ask_advice()
+{
+    if (is_asking_advice_ || core_->advice_requests().empty())
+        return;
+    is_asking_advice_ = true;
+    auto const request = core_->advice_requests().front();
+    std::weak_ptr<bool> const alive = alive_;
+    auto const term_version = acquired_version_;
+    advice_.ask(
+        request.step_name(), request.executors,
+        [this, alive, term_version, request,
+         asked_at = timers_.now()](auto const& tickets) {
+            if (alive.expired())
+                return;
+            advice_timer_ =
+                timers_.after(tickets ? core::duration(0) : advice_retry,
+                              [this] { is_asking_advice_ = false; });
+            if (!tickets || core_ == nullptr ||
+                term_version != acquired_version_)
+                return;
+            core::log_event(
+                "advice_received",
+                {{"job", request.job_id},
+                 {"step", request.step_name()},
+                 {"asked", static_cast<std::int64_t>(request.executors.size())},
+                 {"granted", static_cast<std::int64_t>(tickets->size())},
+                 {"after_ms", (timers_.now() - asked_at).count()}});
+            core_->receive_advice(request, *tickets, timers_.now());
+            decide_soon();
+        });
+}
+
 void decider_service::observe_waits(std::vector<job_change> const& changes)
 {
     for (auto const& change : changes) {
--- a/packages/scheduler/decider_service.hpp
+++ b/packages/scheduler/decider_service.hpp
@@ -42,11 +42,12 @@
     ///        called for each of its rows
     /// @param rules the rules in force
     /// @param others how other processes are told
+    /// @param advice says which executors may run steps of some queues
     /// @param settings names and limits
     decider_service(rows::row_store& store, event::timer_service& timers,
                     rows::table_replica const& work,
                     std::function<std::shared_ptr<jobs::rules const>()> rules,
-                    peers others, options settings);
+                    peers others, advice_service& advice, options settings);
     ~decider_service() override;
 
     /// Begins to take part in elections.
@@ -102,6 +103,7 @@
     void observe_waits(std::vector<job_change> const& changes);
     void decide_soon();
     void decide();
+    void ask_advice();
     std::vector<job_change> split_retired(std::vector<job_change> changes);
     void retire(job_change change);
     moment current_moment() const;
@@ -111,6 +113,7 @@
     rows::table_replica const& work_;
     std::function<std::shared_ptr<jobs::rules const>()> rules_;
     peers peers_;
+    advice_service& advice_;
     options options_;
 
     lease_record seen_lease_;
@@ -135,12 +138,14 @@
     /// Rows of urgent work that are on their way to the store.
     std::map<rows::row_key, announcement> announcements_;
     bool has_news_ = false;
+    bool is_asking_advice_ = false;
     std::int64_t wall_offset_ms_;
 
     std::unique_ptr<event::timer> tick_timer_;
     std::unique_ptr<event::timer> decide_timer_;
     std::map<std::size_t, std::unique_ptr<event::timer>> load_timers_;
     std::unique_ptr<event::timer> resign_timer_;
+    std::unique_ptr<event::timer> advice_timer_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
 };
 
--- a/packages/scheduler/group_builder.cpp
+++ b/packages/scheduler/group_builder.cpp
@@ -171,7 +171,8 @@
     auto& group = result.group;
     group.service = job.submission.terms.service;
     group.count = tasks.size();
-    group.task = step.task;
+    group.task = step.room();
+    group.is_filler = step.is_filler;
     group.is_gang = step.is_gang;
     group.is_rack_local = step.is_rack_local;
     group.data_rack = step.data_rack;
@@ -180,6 +181,12 @@
         static_cast<std::size_t>(std::max(step.max_per_worker, 0));
     group.running_on = running_by_agent(job, key);
     group.avoided = avoided_agents(job, key, now);
+    if (job.submission.terms.needs_tickets()) {
+        auto const found = job.advice.find(key);
+        group.allowed_executors = found == job.advice.end()
+                                      ? std::set<std::string>()
+                                      : found->second.allowed();
+    }
     group.priority = job.submission.terms.priority;
     group.is_guaranteed = outlook.is_guaranteed;
     group.is_any_rack_allowed = outlook.is_guaranteed && waited > rack_patience;
@@ -307,7 +314,8 @@
     auto const& step =
         job.submission.spec
             .steps[static_cast<std::size_t>(run.order.run.task.step)];
-    if (step.is_long_running)
+    // A filler that its agent holds back is not at fault.
+    if (step.is_long_running || run.share < 100)
         return false;
     auto const expected = core::duration(static_cast<std::int64_t>(
         stall_share_of_estimate * static_cast<double>(step.estimate.count())));
@@ -328,6 +336,7 @@
         auto const& described = view.report.worker;
         placement::worker entry;
         entry.agent = agent;
+        entry.executor = described.executor.id;
         entry.service = described.service;
         entry.rack = described.rack;
         entry.labels = described.labels;
@@ -353,6 +362,8 @@
                 entry.free_soon -= run.task;
             if (is_stalled(job, run))
                 entry.is_accepting = false;
+            if (run.share < 100)
+                entry.holds_fillers_back = true;
         }
     }
     return result;
--- a/packages/scheduler/open_job.hpp
+++ b/packages/scheduler/open_job.hpp
@@ -3,6 +3,7 @@
 #include "core/clock.hpp"
 #include "jobs/progress.hpp"
 #include "jobs/worker_report.hpp"
+#include "scheduler/step_advice.hpp"
 
 #include <map>
 #include <optional>
@@ -33,6 +34,7 @@
     std::optional<core::time_point> seen_running_at;
     std::int32_t first_percent = 0; ///< when it was first seen
     std::int32_t percent = 0;
+    std::int32_t share = 100; ///< at which its agent lets it work
     core::time_point percent_changed_at{};
     core::time_point observed_at{}; ///< by the newest report that lists it
     /// A member of its gang has ended.
@@ -57,6 +59,8 @@
     std::map<step_key, core::time_point> waiting_since;
     /// When which agent failed a run of a step.
     std::map<step_key, std::map<std::string, core::time_point>> failed_on;
+    /// What the advice service said; only for queues that need its tickets.
+    std::map<step_key, step_advice> advice;
     std::optional<core::time_point> finished_at;
 };
 
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -75,7 +75,7 @@
     if (static_cast<std::size_t>(task.step) >= job.submission.spec.steps.size())
         return;
     assignment run;
-    run.task = step_of(job, task).task;
+    run.task = step_of(job, task).room();
     run.percent_changed_at = now;
     run.ordered_at = now;
     run.order = std::move(order);
@@ -126,6 +126,7 @@
             known.first_percent = task.percent;
         }
         known.percent = task.percent;
+        known.share = task.share;
         known.observed_at = now;
         lessons_.observe_progress(job->second, known);
     }
@@ -314,6 +315,7 @@
 
 void scheduler_core::place(core::time_point now)
 {
+    advice_requests_.clear();
     auto const waiting =
         collect_waiting(jobs_, *rules_, lessons_.run_times, now);
     if (waiting.empty())
@@ -333,26 +335,17 @@
     running_groups.reserve(running.size());
     for (auto const& entry : running)
         running_groups.push_back(entry.group);
-    auto const result = placement::run_round(
+    auto const workers =
         collect_workers(workers_, jobs_, lessons_.health, lessons_.speed, now,
-                        limits_.report_fresh),
-        waiting_groups, running_groups);
-    for (auto const& placed : result.placed) {
-        auto const& tasks = waiting[placed.group].tasks;
-        auto& job = jobs_.at(tasks[0].job_id);
-        bool const is_gang = waiting[placed.group].group.is_gang;
-        std::int64_t gang_run = 0;
-        if (is_gang) {
-            for (auto const& task : tasks) {
-                gang_run =
-                    std::max(gang_run, find_task(job, task)->last_run + 1);
-            }
-        }
-        for (std::size_t index = 0; index < placed.agents.size(); ++index) {
-            auto const run =
-                is_gang ? gang_run : find_task(job, tasks[index])->last_run + 1;
-            start(tasks[index], placed.agents[index], run, now);
-        }
+                        limits_.report_fresh);
+    auto const result =
+        placement::run_round(workers, waiting_groups, running_groups);
+    std::vector<std::vector<std::string>> agents(waiting.size());
+    for (auto const& placed : result.placed)
+        agents[placed.group] = placed.agents;
+    for (std::size_t index = 0; index < waiting.size(); ++index) {
+        if (has_tickets(waiting[index], agents[index], workers, now))
+            start_group(waiting[index], agents[index], now);
     }
     for (auto const victim : result.stopped) {
         for (auto const& task : running[victim].tasks) {
@@ -362,6 +355,57 @@
     }
 }
 
+/// Asks for the tickets that are missing.
+/// @return whether the tasks may be started where they were placed
+bool scheduler_core::has_tickets(waiting_tasks const& tasks,
+                                 std::span<std::string const> agents,
+                                 std::span<placement::worker const> workers,
+                                 core::time_point now)
+{
+    auto const& job = jobs_.at(tasks.tasks.front().job_id);
+    if (!job.submission.terms.needs_tickets())
+        return true;
+    auto request = plan_advice(job, tasks, agents, workers, now);
+    if (!request)
+        return true;
+    advice_requests_.push_back(std::move(*request));
+    auto const advice = job.advice.find(advice_requests_.back().step);
+    return advice != job.advice.end() &&
+           std::all_of(agents.begin(), agents.end(), [&](auto const& agent) {
+               auto const& executor = workers_.at(agent).report.worker.executor;
+               return advice->second.ticket(executor.id,
+                                            oldest_ticket(job, now));
+           });
+}
+
+void scheduler_core::start_group(waiting_tasks const& tasks,
+                                 std::span<std::string const> agents,
+                                 core::time_point now)
+{
+    auto& job = jobs_.at(tasks.tasks.front().job_id);
+    std::int64_t gang_run = 0;
+    if (tasks.group.is_gang) {
+        for (auto const& task : tasks.tasks)
+            gang_run = std::max(gang_run, find_task(job, task)->last_run + 1);
+    }
+    for (std::size_t index = 0; index < agents.size(); ++index) {
+        auto const& task = tasks.tasks[index];
+        auto const run =
+            tasks.group.is_gang ? gang_run : find_task(job, task)->last_run + 1;
+        start(task, agents[index], run, now);
+    }
+}
+
+void scheduler_core::receive_advice(advice_request const& request,
+                                    advice_service::tickets const& tickets,
+                                    core::time_point now)
+{
+    auto const found = jobs_.find(request.job_id);
+    if (found != jobs_.end())
+        found->second.advice[request.step].record(request.executors, tickets,
+                                                  now);
+}
+
 void scheduler_core::start(jobs::task_id const& task, std::string const& agent,
                            std::int64_t run, core::time_point now)
 {
@@ -369,16 +413,26 @@
     auto& known = *find_task(job, task);
     known.last_run = run;
     assignment started;
-    started.task = step_of(job, task).task;
+    started.task = step_of(job, task).room();
     started.percent_changed_at = now;
     started.ordered_at = now;
+    auto const& executor = workers_.at(agent).report.worker.executor;
+    auto const& step = step_of(job, task);
     started.order = {agent,
-                     workers_.at(agent).report.worker.executor,
+                     executor,
                      {task, run},
                      job.submission.spec.payload,
                      checkpoint_holder(job, task)->checkpoint,
                      false,
-                     job.submission.terms.is_urgent()};
+                     job.submission.terms.is_urgent(),
+                     "",
+                     step.response_target,
+                     step.is_filler};
+    if (job.submission.terms.needs_tickets()) {
+        started.order.ticket = job.advice.at(key_of(task))
+                                   .ticket(executor.id, oldest_ticket(job, now))
+                                   .value_or("");
+    }
     job.progress.has_started = true;
     changes_.add_order(job, order_change::kind::start, started.order, {});
     runs_by_agent_.add(agent, task);
--- a/packages/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/scheduler_core.hpp
@@ -1,6 +1,8 @@
 #pragma once
 
 #include "jobs/rules.hpp"
+#include "scheduler/advice_planner.hpp"
+#include "scheduler/advice_service.hpp"
 #include "scheduler/group_builder.hpp"
 #include "scheduler/open_job.hpp"
 #include "scheduler/run_end_recorder.hpp"
@@ -74,6 +76,18 @@
     /// @return what to store, in this order
     std::vector<job_change> decide(moment const& at);
 
+    /// @return what the last round wants to know of the advice service, the
+    ///         most urgent first
+    std::vector<advice_request> const& advice_requests() const
+    {
+        return advice_requests_;
+    }
+
+    /// Takes note of an answer of the advice service.
+    void receive_advice(advice_request const& request,
+                        advice_service::tickets const& tickets,
+                        core::time_point now);
+
     job_map const& jobs() const { return jobs_; }
     worker_map const& workers() const { return workers_; }
 
@@ -93,6 +107,12 @@
     void settle(open_job& job, core::time_point now);
     void stop_misplaced(core::time_point now);
     void place(core::time_point now);
+    bool has_tickets(waiting_tasks const& tasks,
+                     std::span<std::string const> agents,
+                     std::span<placement::worker const> workers,
+                     core::time_point now);
+    void start_group(waiting_tasks const& tasks,
+                     std::span<std::string const> agents, core::time_point now);
     void start(jobs::task_id const& task, std::string const& agent,
                std::int64_t run, core::time_point now);
     void retire(core::time_point now);
@@ -106,6 +126,7 @@
     change_list changes_;
     assignment_index runs_by_agent_;
     run_end_recorder ends_;
+    std::vector<advice_request> advice_requests_;
 };
 
 } // namespace sequoiaroute::scheduler
--- a/tests/agents/agent_service_test.cpp
+++ b/tests/agents/agent_service_test.cpp
@@ -35,6 +35,13 @@
         reply(std::move(done));
     }
 
+    void pace(jobs::run_id const& run, std::int32_t percent,
+              std::function<void(bool)> done) override
+    {
+        shares[run] = percent;
+        done(true);
+    }
+
     void hold(std::int64_t acknowledged,
               std::optional<std::int64_t> lease_until_ms, core::duration,
               std::function<void(executor_lists)> done) override
@@ -51,7 +58,7 @@
         lists.clock_ms = clock_ms();
         lists.ended = ended;
         for (auto const& [run, order] : running)
-            lists.running.push_back({run, "", 50});
+            lists.running.push_back({run, "", 50, 100, response_time});
         pending_.push_back(timers_.after(
             5ms, [done = std::move(done), lists] { done(lists); }));
     }
@@ -69,6 +76,8 @@
 
     std::map<jobs::run_id, jobs::run_order> running;
     std::vector<listed_end> ended;
+    std::map<jobs::run_id, std::int32_t> shares;
+    core::duration response_time{0};
     std::int64_t lease_end_ms = 0;
     std::int64_t highest_acknowledged = 0;
 
@@ -113,7 +122,8 @@
 
     jobs::run_order make_order(std::int32_t index) const
     {
-        return {"a", {"i-1", 1}, {{"j", 0, 0, index}, 1}, "p", "", false};
+        return {"a",   {"i-1", 1}, {{"j", 0, 0, index}, 1}, "p", "", false,
+                false, ""};
     }
 
     void put_order(jobs::run_order const& order)
@@ -261,5 +271,24 @@
     EXPECT_EQ(notices.reports["10.0.0.1:7000"].size(), 1U);
 }
 
+// Load: a filler slows the answers of a serving task beside it.
+TEST_F(agent_service_test, paces_a_filler_beside_a_slow_serving_task)
+{
+    begin();
+    auto serving = make_order(0);
+    serving.response_target = 100ms;
+    auto filler = make_order(1);
+    filler.is_filler = true;
+    put_order(serving);
+    put_order(filler);
+    executor.response_time = 150ms;
+    timers.advance(3s);
+    ASSERT_TRUE(executor.shares.contains(filler.run));
+    EXPECT_EQ(executor.shares.at(filler.run), 0);
+    EXPECT_FALSE(executor.shares.contains(serving.run));
+    for (auto const& task : report().running)
+        EXPECT_EQ(task.share, task.run == filler.run ? 0 : 100);
+}
+
 } // namespace
 } // namespace sequoiaroute::agents
--- a/tests/jobs/row_codec_test.cpp
+++ b/tests/jobs/row_codec_test.cpp
@@ -80,16 +80,28 @@
                      core::duration(40),
                      {1, 2, 3},
                      {"a", "r1"}};
-    report.running = {{{{"j", 0, 1, 2}, 3}, "cp", 40}};
+    report.running = {{{{"j", 0, 1, 2}, 3}, "cp", 40, 16, core::duration(0)}};
     report.ended = {{{{"j", 0, 1, 3}, 1}, run_end::broken, ""}};
     auto const decoded = decode_report(encode(report));
     ASSERT_TRUE(core::is_ok(decoded));
     EXPECT_EQ(core::value(decoded), report);
-    run_order const order{"10.0.0.1", {"i-1", 7}, {{"j", 0, 1, 2}, 3},
-                          "payload",  "cp",       true};
+    run_order order;
+    order.agent = "10.0.0.1";
+    order.executor = {"i-1", 7};
+    order.run = {{"j", 0, 1, 2}, 3};
+    order.payload = "payload";
+    order.checkpoint = "cp";
+    order.is_to_stop = true;
+    order.is_urgent = true;
+    order.ticket = "t-7";
+    order.response_target = core::duration(100);
+    order.is_filler = true;
     auto const decoded_order = decode_order(encode(order));
     ASSERT_TRUE(core::is_ok(decoded_order));
     EXPECT_EQ(encode(core::value(decoded_order)), encode(order));
+    EXPECT_EQ(core::value(decoded_order).ticket, "t-7");
+    EXPECT_EQ(core::value(decoded_order).response_target, core::duration(100));
+    EXPECT_TRUE(core::value(decoded_order).is_filler);
 }
 
 // Guards against a row of another writer that ends the process.
--- a/tests/scheduler/decider_service_test.cpp
+++ b/tests/scheduler/decider_service_test.cpp
@@ -14,6 +14,29 @@
 using namespace std::chrono_literals;
 using support::memory_row_store;
 
+/// Gives tickets for some executors.
+class fake_advice final : public advice_service
+{
+public:
+    void ask(std::string const& step, std::span<std::string const> executors,
+             std::function<void(std::optional<tickets>)> done) override
+    {
+        asked.push_back(step);
+        if (!is_there)
+            return done(std::nullopt);
+        tickets given;
+        for (auto const& executor : executors) {
+            if (executor == allowed)
+                given[executor] = "t" + std::to_string(asked.size());
+        }
+        done(given);
+    }
+
+    std::vector<std::string> asked;
+    std::string allowed;
+    bool is_there = true;
+};
+
 /// An entry as far as the decider is concerned.
 class entry
 {
@@ -25,7 +48,7 @@
                 [this](rows::row const& changed) { decider.observe(changed); }),
           decider(store, timers, work_,
                   [] { return std::make_shared<jobs::rules const>(); },
-                  {notices, [] { return std::vector{other_address}; }},
+                  {notices, [] { return std::vector{other_address}; }}, advice,
                   {std::move(name), own_address, {}})
     {
         work_.start();
@@ -36,6 +59,7 @@
     inline static std::string const other_address = "10.0.0.2:7000";
 
     support::recorded_notices notices;
+    fake_advice advice;
 
 private:
     rows::table_replica work_;
@@ -241,5 +265,33 @@
     EXPECT_FALSE(first.decider.is_decider());
 }
 
+// Guards against starts that executors refuse for want of a ticket.
+TEST_F(decider_service_test, gets_a_ticket_before_it_orders_a_start)
+{
+    entry only(store, timers, "one");
+    only.advice.allowed = "i-b";
+    only.advice.is_there = false;
+    add_worker("a");
+    add_worker("b");
+    timers.advance(1s);
+    jobs::submission job;
+    job.job_id = "j";
+    job.terms = {"q", "s", 1, 2, 3, 1s, 3s};
+    job.spec.steps.resize(1);
+    store.put(rows::layout::job_row("j"), jobs::encode(job));
+    timers.advance(1s);
+    EXPECT_FALSE(only.advice.asked.empty());
+    EXPECT_EQ(only.advice.asked.front(), "j.0.0");
+    EXPECT_FALSE(order("j"));
+    only.advice.is_there = true;
+    add_worker("a");
+    add_worker("b");
+    timers.advance(500ms);
+    auto const row = store.find(
+        rows::layout::order_row("b", to_text(jobs::run_id{{"j", 0, 0, 0}, 1})));
+    ASSERT_TRUE(row);
+    EXPECT_FALSE(core::value(jobs::decode_order(row->value)).ticket.empty());
+}
+
 } // namespace
 } // namespace sequoiaroute::scheduler
--- a/tests/scheduler/scheduler_core_test.cpp
+++ b/tests/scheduler/scheduler_core_test.cpp
@@ -83,7 +83,7 @@
     void report_running(jobs::run_order const& order, std::int32_t percent)
     {
         auto report = reports_.at(order.agent);
-        report.running = {{order.run, "", percent}};
+        report.running = {{order.run, "", percent, 100, core::duration(0)}};
         core_.receive(report, now_);
     }
 
@@ -326,8 +326,10 @@
     EXPECT_EQ(orders(decide(), stops).size(), 1U);
     report_end(first[0], jobs::run_end::stopped);
     EXPECT_EQ(decide_starts().at(0).agent, "b");
-    report_end({"b", {}, {{"j", 0, 0, 0}, 2}, "", "", false},
-               jobs::run_end::done);
+    jobs::run_order second;
+    second.agent = "b";
+    second.run = {{"j", 0, 0, 0}, 2};
+    report_end(second, jobs::run_end::done);
     EXPECT_EQ(decide_starts().at(0).run.run, 3);
 }
 
