soak: Disturb the real programs from outside, and check their promises

Change: tests/soak: one driver with the store, executors and customers of the platform as stand-ins, a TCP proxy before each process's way to the store, and faults drawn from a seed that overlap: store refusing, silent, slow, losing answers, writing late, dropping history, for one process or all; connections reset, silent, cut one way, delayed; processes killed, stopped, frozen, signalled; executors crashing, leaving, hanging, with late orders and clocks two percent slow; rules and keys changing.

Found: an entry told the state of a job from a copy of any age as long as its rules were fresh; it now passes the call on when its copy of jobs is older than 5 s. Four findings were faults of the stand-ins and the checker: gangs of the stand-in did not end together; a done end was forgotten with its executor; a start before the answer to the customer was taken for one after a refusal; connections to a process that had ended were taken for broken answers.

--- a/packages/event/http_server.cpp
+++ b/packages/event/http_server.cpp
@@ -66,18 +66,24 @@
     return core::duration(milliseconds);
 }
 
-http_request to_request(evhttp_request* source, std::string const& limit_name)
+http_request to_request(evhttp_request* source,
+                        http_server::limits const& limits)
 {
     http_request request;
     request.method = method_name(evhttp_request_get_command(source));
     std::string const uri = evhttp_request_get_uri(source);
-    request.path = uri.substr(0, uri.find('?'));
+    auto const mark = uri.find('?');
+    request.path = uri.substr(0, mark);
+    if (mark != std::string::npos)
+        request.query = uri.substr(mark + 1);
+    for (auto const& name : limits.kept_headers)
+        request.headers.emplace_back(name, header(source, name.c_str()));
     auto const host = header(source, "Host");
     request.host = host.substr(0, host.find(':'));
     request.authorization = header(source, "Authorization");
-    if (!limit_name.empty()) {
+    if (!limits.time_limit_header.empty()) {
         request.time_limit =
-            parse_time_limit(header(source, limit_name.c_str()));
+            parse_time_limit(header(source, limits.time_limit_header.c_str()));
     }
     auto* const buffer = evhttp_request_get_input_buffer(source);
     request.body.resize(evbuffer_get_length(buffer));
@@ -159,7 +165,7 @@
 void http_server::on_request(evhttp_request* request, void* self)
 {
     auto& server = *static_cast<http_server*>(self);
-    auto parsed = to_request(request, server.limits_.time_limit_header);
+    auto parsed = to_request(request, server.limits_);
     ++*server.open_requests_;
     auto const is_answered = std::make_shared<bool>(false);
     server.handle_(std::move(parsed),
--- a/packages/event/http_server.hpp
+++ b/packages/event/http_server.hpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 struct evhttp;
 struct evhttp_request;
@@ -20,8 +21,11 @@
 {
     std::string method;
     std::string path; ///< without its query
+    std::string query;
     std::string host; ///< without its port
     std::string authorization;
+    /// Those that the server's limits name, empty if they were not sent.
+    http_headers headers;
     std::string body;
     core::duration time_limit{0}; ///< how long the caller waits; 0 if not said
 };
@@ -52,6 +56,8 @@
         core::duration idle_time{60'000};
         /// The header in which callers say how long they wait.
         std::string time_limit_header;
+        /// Other headers that the handler needs.
+        std::vector<std::string> kept_headers;
     };
 
     /// Listens on an address.
--- a/packages/gateway/customer_service.cpp
+++ b/packages/gateway/customer_service.cpp
@@ -12,9 +12,9 @@
 
 namespace {
 
-/// With rules older than this no call is served: a key may have been taken
-/// away meanwhile.
-constexpr core::duration oldest_rules{5000};
+/// With rules or jobs older than this no call is served: a key may have been
+/// taken away meanwhile, and a finished job would be shown as running.
+constexpr core::duration oldest_copy{5000};
 /// A process whose copy is older than this asks to be passed over.
 constexpr core::duration oldest_ready_copy{3000};
 /// Less time than this is not enough for a write.
@@ -101,11 +101,15 @@
            work_.age() < oldest_ready_copy;
 }
 
+bool customer_service::is_current() const
+{
+    return rules_.current() != nullptr && rules_.age() < oldest_copy &&
+           work_.is_loaded() && work_.age() < oldest_copy;
+}
+
 void customer_service::handle(customer_call call, customer_responder respond)
 {
-    bool const is_current = rules_.current() != nullptr &&
-                            rules_.age() < oldest_rules && work_.is_loaded();
-    if (store_.is_reachable() && is_current)
+    if (store_.is_reachable() && is_current())
         return handle_here(std::move(call), std::move(respond));
     // The store may serve other entries, and their rules are newer.
     relay_.relay(call, [this, call, respond = std::move(respond)](
@@ -120,11 +124,12 @@
 void customer_service::handle_here(customer_call call,
                                    customer_responder respond)
 {
-    auto const rules = rules_.current();
-    if (rules == nullptr || rules_.age() > oldest_rules || !work_.is_loaded()) {
-        log_call("call_refused", call.path, "no rules known to be in force");
+    if (!is_current()) {
+        log_call("call_refused", call.path,
+                 "the copies of rules and jobs are too old");
         return respond(make_refusal(call_outcome::unavailable));
     }
+    auto const rules = rules_.current();
     auto const* const queue = rules->find_queue(call.host, call.path);
     if (queue == nullptr)
         return respond(make_reply(call_outcome::no_queue));
--- a/packages/gateway/customer_service.hpp
+++ b/packages/gateway/customer_service.hpp
@@ -48,6 +48,7 @@
 private:
     struct pending_write;
 
+    bool is_current() const;
     void submit(customer_call call, jobs::queue_rule const& queue,
                 std::string job_id, customer_responder respond);
     void cancel(std::string const& job_id, customer_call const& call,
--- a/tests/scenarios/process_set.cpp
+++ b/tests/scenarios/process_set.cpp
@@ -87,6 +87,20 @@
     ::kill(running(name), SIGTERM);
 }
 
+void process_set::send(std::string const& name, int signal_number)
+{
+    ::kill(running(name), signal_number);
+}
+
+std::optional<int> process_set::poll_end(std::string const& name)
+{
+    int status = 0;
+    if (waitpid(running(name), &status, WNOHANG) == 0)
+        return std::nullopt;
+    processes_[name] = -1;
+    return exit_status(status);
+}
+
 int process_set::stop(std::string const& name)
 {
     auto const process = running(name);
--- a/tests/scenarios/process_set.hpp
+++ b/tests/scenarios/process_set.hpp
@@ -2,6 +2,7 @@
 
 #include <filesystem>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -34,6 +35,13 @@
     /// @throws std::runtime_error if the process doesn't end in time
     int stop(std::string const& name);
 
+    /// Sends any signal to a running process.
+    void send(std::string const& name, int signal_number);
+
+    /// @return the exit status of a process that has ended; nothing while it
+    ///         runs
+    std::optional<int> poll_end(std::string const& name);
+
     /// Sends SIGKILL and waits for the end.
     void kill(std::string const& name);
 
--- /dev/null
+++ b/tests/soak/executor_server.cpp
@@ -0,0 +1,256 @@
+#include "soak/executor_server.hpp"
+
+#include "wire_json.hpp"
+
+#include <algorithm>
+#include <charconv>
+#include <utility>
+
+#include <absl/strings/str_split.h>
+#include <fmt/format.h>
+
+namespace sequoiaroute::soak {
+
+namespace {
+
+using adapter::json;
+
+constexpr core::duration tick_period{20};
+constexpr core::duration heartbeat_period{500};
+constexpr core::duration late_least{2000};
+constexpr core::duration late_most{8000};
+constexpr std::size_t listed_at_once = 500;
+
+jobs::run_id run_of(json const& body)
+{
+    std::vector<std::string> const parts =
+        absl::StrSplit(body.at("Task").get<std::string>(), '.');
+    auto const number = [&](std::size_t index) {
+        std::int64_t parsed = 0;
+        std::from_chars(parts[index].data(),
+                        parts[index].data() + parts[index].size(), parsed);
+        return parsed;
+    };
+    return {{parts[0], number(1), static_cast<std::int32_t>(number(2)),
+             static_cast<std::int32_t>(number(3))},
+            body.at("Run")};
+}
+
+event::http_answer answer(int status, json const& body)
+{
+    return {status, {}, body.dump(), "application/json"};
+}
+
+} // namespace
+
+core::result<std::unique_ptr<executor_server>>
+executor_server::create(event::event_loop& loop, addresses where,
+                        executor_model& model, random_source& random,
+                        std::string rack)
+{
+    std::unique_ptr<executor_server> self(new executor_server(
+        loop, std::move(where), model, random, std::move(rack)));
+    SEQUOIA_TRY(self->listen());
+    self->begin_life();
+    auto* const owner = self.get();
+    self->tick_timer_ = loop.every(tick_period, [owner] { owner->tick(); });
+    self->heartbeat_timer_ =
+        loop.every(heartbeat_period, [owner] { owner->send_heartbeat(); });
+    return self;
+}
+
+executor_server::executor_server(event::event_loop& loop, addresses where,
+                                 executor_model& model, random_source& random,
+                                 std::string rack)
+    : loop_(loop), where_(std::move(where)), model_(model), random_(random),
+      rack_(std::move(rack)), client_(loop)
+{
+}
+
+core::status executor_server::listen()
+{
+    event::http_server::limits limits;
+    limits.kept_headers = {"X-Expect-Instance"};
+    SEQUOIA_TRY_INTO(server_,
+                     event::http_server::create(
+                         loop_, where_.own, limits,
+                         [this](auto const& request, auto const& respond) {
+                             serve(request, respond);
+                         }));
+    return core::success();
+}
+
+void executor_server::begin_life()
+{
+    is_draining_ = false;
+    sequence_ = 0;
+    seen_ends_ = 0;
+    model_.begin_life();
+    send_heartbeat();
+}
+
+void executor_server::tick()
+{
+    model_.advance();
+    if (is_draining_ && loop_.now() > leaves_at_) {
+        client_.call({where_.heartbeats,
+                      "POST",
+                      "/sequoiaroute/Instances.Deregister/" + model_.id(),
+                      {},
+                      "{}",
+                      core::duration(500)},
+                     [](auto const&) {});
+        crash(random_.between(core::duration(300), core::duration(1500)));
+        return;
+    }
+    bool const has_new_end = model_.ends().size() > seen_ends_;
+    seen_ends_ = model_.ends().size();
+    auto const now = loop_.now();
+    for (auto next = holds_.begin(); next != holds_.end();) {
+        auto const held = next++;
+        if (!has_new_end && now < held->until)
+            continue;
+        auto const respond = held->respond;
+        holds_.erase(held);
+        answer_lists(respond);
+    }
+}
+
+void executor_server::send_heartbeat()
+{
+    if (!model_.is_up())
+        return;
+    auto const& capacity = model_.capacity();
+    json body{{"Service", "s"},
+              {"Addr", where_.own},
+              {"Zone", "z"},
+              {"State", is_draining_ ? "draining" : "ready"},
+              {"Capacity",
+               {{"Cpu", capacity.millicores},
+                {"MemMb", capacity.memory_mb},
+                {"Gpu", capacity.accelerators}}},
+              {"Labels", {"a", rack_}},
+              {"born", model_.born_ms()},
+              {"Seq", ++sequence_}};
+    if (is_draining_) {
+        body["RemainingMs"] =
+            std::max<std::int64_t>((leaves_at_ - loop_.now()).count(), 0);
+    }
+    client_.call({where_.heartbeats,
+                  "POST",
+                  "/sequoiaroute/Instances.Heartbeat/" + model_.id(),
+                  {},
+                  body.dump(),
+                  core::duration(500)},
+                 [](auto const&) {
+                     // The next heartbeat makes up for a lost one.
+                 });
+}
+
+void executor_server::leave(core::duration remaining)
+{
+    if (!model_.is_up() || is_draining_)
+        return;
+    is_draining_ = true;
+    leaves_at_ = loop_.now() + remaining;
+    send_heartbeat();
+}
+
+void executor_server::crash(core::duration away)
+{
+    if (!model_.is_up())
+        return;
+    model_.end_life();
+    holds_.clear();
+    late_.clear();
+    server_.reset();
+    life_timer_ = loop_.after(away, [this] {
+        if (core::is_ok(listen()))
+            begin_life();
+    });
+}
+
+void executor_server::serve(event::http_request const& request,
+                            event::http_responder const& respond)
+{
+    model_.advance();
+    if (request.path == "/sequoiaroute/hold")
+        return hold(request.body, respond);
+    serve_order(request, respond);
+}
+
+void executor_server::serve_order(event::http_request const& request,
+                                  event::http_responder const& respond)
+{
+    if (request.headers.at(0).second != model_.id())
+        return respond(answer(421, json::object()));
+    if (!random_.happens(late_orders))
+        return carry_out(request.path, request.body, respond);
+    late_.push_back(loop_.after(
+        random_.between(late_least, late_most),
+        [this, path = request.path, body = request.body, life = model_.life()] {
+            if (model_.is_up() && model_.life() == life)
+                carry_out(path, body, [](auto const&) {});
+        }));
+}
+
+void executor_server::carry_out(std::string const& path,
+                                std::string const& text,
+                                event::http_responder const& respond)
+{
+    model_.advance();
+    auto const body = json::parse(text);
+    auto const run = run_of(body);
+    json reply{{"ClockMs", model_.clock_ms()}, {"born", model_.born_ms()}};
+    if (path == "/sequoiaroute/run-stop") {
+        model_.stop(run);
+        return respond(answer(200, reply));
+    }
+    using outcome = executor_model::start_answer;
+    auto const started =
+        model_.start(run, body.at("Spec"), body.at("DeadlineMs"));
+    if (started == outcome::started)
+        return respond(answer(200, reply));
+    reply["Reason"] = started == outcome::old ? "old" : "late";
+    respond(answer(409, reply));
+}
+
+void executor_server::hold(std::string const& text,
+                           event::http_responder const& respond)
+{
+    auto const body = json::parse(text);
+    model_.acknowledge(body.at("AckedUpto"));
+    if (body.contains("DeadlineMs"))
+        model_.extend(body.at("DeadlineMs"));
+    seen_ends_ = std::min(seen_ends_, model_.ends().size());
+    core::duration const wait(body.value("WaitMs", std::int64_t{0}));
+    if (wait == core::duration(0) || !model_.ends().empty())
+        return answer_lists(respond);
+    holds_.push_back({respond, loop_.now() + wait});
+}
+
+void executor_server::answer_lists(event::http_responder const& respond)
+{
+    json running = json::array();
+    for (auto const& [run, record] : model_.running()) {
+        auto const percent = std::min<std::int64_t>(
+            record.done.count() * 100 /
+                std::max<std::int64_t>(record.plan.work.count(), 1),
+            100);
+        running.push_back({to_text(run.task), run.run, "", percent, 0});
+    }
+    json ended = json::array();
+    for (auto const& listed : model_.ends()) {
+        if (ended.size() == listed_at_once)
+            break;
+        ended.push_back({listed.number, to_text(listed.run.task),
+                         listed.run.run, std::string(jobs::name(listed.how)),
+                         ""});
+    }
+    respond(answer(200, {{"ClockMs", model_.clock_ms()},
+                         {"born", model_.born_ms()},
+                         {"Running", std::move(running)},
+                         {"Finished", std::move(ended)}}));
+}
+
+} // namespace sequoiaroute::soak
--- /dev/null
+++ b/tests/soak/fleet.cpp
@@ -0,0 +1,256 @@
+#include "soak/fleet.hpp"
+
+#include "wire_json.hpp"
+
+#include <csignal>
+#include <fstream>
+
+#include <fmt/format.h>
+
+namespace sequoiaroute::soak {
+
+namespace {
+
+using adapter::json;
+
+constexpr int customer_port = 21000;
+constexpr int readiness_port = 21001;
+constexpr int notice_port = 21002;
+constexpr int metrics_port = 21003;
+constexpr int heartbeat_port = 21004;
+constexpr int store_port = 21005;
+constexpr int executor_port = 21006;
+
+/// Networks of addresses, 127.NETWORK.RUN.INDEX.
+enum network
+{
+    entry_network = 21,
+    agent_network,
+    executor_network,
+    store_link_network,
+    store_network,
+};
+
+jobs::resources const executor_capacity{16'000, 64'000, 8};
+/// A broken answer may come so long after the disturbance that caused it.
+constexpr core::duration disturbance{7000};
+/// Runs on one machine use different addresses.
+int run_number = 0;
+
+std::string address(network kind, std::size_t index, int port)
+{
+    return fmt::format("127.{}.{}.{}:{}", static_cast<int>(kind), run_number,
+                       index + 1, port);
+}
+
+std::string host(network kind, std::size_t index)
+{
+    auto const whole = address(kind, index, 0);
+    return whole.substr(0, whole.find(':'));
+}
+
+} // namespace
+
+fleet::fleet(event::event_loop& loop, random_source& random,
+             std::filesystem::path binaries, std::filesystem::path directory)
+    : loop_(loop), random_(random), binaries_(std::move(binaries)),
+      directory_(std::move(directory)), store_(loop), checker_(clock_),
+      processes_(directory_)
+{
+}
+
+core::result<std::unique_ptr<fleet>>
+fleet::create(event::event_loop& loop, random_source& random,
+              std::filesystem::path binaries, std::filesystem::path directory,
+              size wanted)
+{
+    constexpr int run_numbers = 250;
+    run_number = 1 + static_cast<int>(::getpid()) % run_numbers;
+    std::unique_ptr<fleet> self(
+        new fleet(loop, random, std::move(binaries), std::move(directory)));
+    // References to entries are handed out, so the vectors must not grow later.
+    self->entries_.reserve(wanted.entries);
+    self->agents_.reserve(wanted.workers);
+    self->entry_links_.reserve(wanted.entries);
+    self->configure("key-1");
+    for (std::size_t index = 0; index < wanted.entries; ++index)
+        SEQUOIA_TRY(self->add_entry(index));
+    for (std::size_t index = 0; index < wanted.workers; ++index)
+        SEQUOIA_TRY(self->add_worker(index));
+    self->callers_ = std::make_unique<customers>(loop, self->checker_, random,
+                                                 self->entry_links_);
+    return self;
+}
+
+std::string fleet::write_settings(std::string const& name,
+                                  std::string const& text) const
+{
+    auto const path = directory_ / (name + ".ini");
+    std::ofstream(path) << text;
+    return path.string();
+}
+
+core::status fleet::add_store_link(member& target, std::size_t index)
+{
+    auto const server = address(store_network, index, store_port);
+    SEQUOIA_TRY_INTO(target.store,
+                     store_server::create(loop_, server, store_, random_));
+    SEQUOIA_TRY_INTO(
+        target.store_link,
+        tcp_proxy::create(loop_, address(store_link_network, index, store_port),
+                          server));
+    return core::success();
+}
+
+core::status fleet::add_entry(std::size_t index)
+{
+    auto& added = entries_.emplace_back();
+    added.name = fmt::format("entry-{}", index + 1);
+    SEQUOIA_TRY(add_store_link(added, index));
+    auto const own = [&](int port) {
+        return address(entry_network, index, port);
+    };
+    auto const settings = write_settings(
+        added.name,
+        fmt::format("[process]\nnode = {}\n[listen]\ncustomers = {}\n"
+                    "readiness = {}\nentries = {}\nmetrics = {}\n[store]\n"
+                    "address = {}\n[bounds]\nlease = 2s\nstop = 300ms\n"
+                    "grace = 5s\nstate_kept = 120s\n",
+                    added.name, own(customer_port), own(readiness_port),
+                    own(notice_port), own(metrics_port),
+                    address(store_link_network, index, store_port)));
+    added.arguments = {(binaries_ / "packages/programs/sequoiaroute").string(),
+                       "schedule", "--settings=" + settings};
+    entry_links_.push_back({added.name, own(customer_port), false});
+    start(added);
+    return core::success();
+}
+
+core::status fleet::add_worker(std::size_t index)
+{
+    auto& added = agents_.emplace_back();
+    added.name = fmt::format("agent-{}", index + 1);
+    constexpr std::size_t first_agent_link = 100;
+    SEQUOIA_TRY(add_store_link(added, first_agent_link + index));
+    auto const own = [&](int port) {
+        return address(agent_network, index, port);
+    };
+    auto const executor = address(executor_network, index, executor_port);
+    auto const settings = write_settings(
+        added.name,
+        fmt::format(
+            "[process]\nnode = {}\naddress = {}\n[listen]\n"
+            "heartbeats = {}\nnotices = {}\nmetrics = {}\n[executor]\n"
+            "address = {}\n[store]\naddress = {}\n[bounds]\n"
+            "lease = 2s\nstop = 300ms\n",
+            added.name, host(agent_network, index), own(heartbeat_port),
+            own(notice_port), own(metrics_port), executor,
+            address(store_link_network, first_agent_link + index, store_port)));
+    added.arguments = {
+        (binaries_ / "packages/programs/sequoiaroute-agent").string(),
+        "--store_orders", "--settings=" + settings};
+    models_.push_back(std::make_unique<executor_model>(
+        fmt::format("i-{}", index + 1), executor_capacity, clock_, checker_,
+        gangs_));
+    SEQUOIA_TRY_INTO(auto server, executor_server::create(
+                                      loop_, {executor, own(heartbeat_port)},
+                                      *models_.back(), random_,
+                                      fmt::format("r{}", index % 2)));
+    executors_.push_back(std::move(server));
+    start(added);
+    return core::success();
+}
+
+void fleet::configure(std::string const& key)
+{
+    version_ += 1 + static_cast<std::int64_t>(random_.below(3));
+    auto const route = [](std::string const& name, int priority) {
+        return json{{"Name", name},
+                    {"Host", "jobs.example"},
+                    {"PathPrefix", "/" + name + "/"},
+                    {"Service", "s"},
+                    {"Priority", priority},
+                    {"MaxAttempts", 1000},
+                    {"Stretch", 3.0},
+                    {"TargetRuntimeMs", 1000},
+                    {"Public", false}};
+    };
+    json const configuration{
+        {"Version", version_},
+        {"Routes", {route("urgent", 0), route("patient", 1)}},
+        {"Tenants",
+         {{{"Name", "press"},
+           {"ApiKeys", {key}},
+           {"Guaranteed", {{"Gpu", 8}}}}}}};
+    store_.put({"op", "", "config"}, configuration.dump());
+    if (callers_ != nullptr)
+        callers_->key = key;
+}
+
+void fleet::disturb(member& target)
+{
+    target.disturbed_until = loop_.now() + disturbance;
+}
+
+void fleet::start(member& target)
+{
+    processes_.start(target.name, target.arguments);
+    target.is_running = true;
+    target.is_frozen = false;
+    target.is_stopping = false;
+}
+
+void fleet::kill(member& target)
+{
+    if (!target.is_running)
+        return;
+    disturb(target);
+    processes_.kill(target.name);
+    target.is_running = false;
+}
+
+void fleet::freeze(member& target)
+{
+    if (!target.is_running || target.is_frozen)
+        return;
+    disturb(target);
+    processes_.freeze(target.name);
+    target.is_frozen = true;
+}
+
+void fleet::thaw(member& target)
+{
+    if (!target.is_running || !target.is_frozen)
+        return;
+    disturb(target);
+    processes_.thaw(target.name);
+    target.is_frozen = false;
+}
+
+void fleet::terminate(member& target)
+{
+    if (!target.is_running || target.is_frozen)
+        return;
+    target.is_stopping = true;
+    processes_.terminate(target.name);
+}
+
+void fleet::tick()
+{
+    auto const now = loop_.now();
+    for (std::size_t index = 0; index < entries_.size(); ++index) {
+        auto const& entry = entries_[index];
+        entry_links_[index].is_only_stopping = entry.is_running &&
+                                               entry.is_stopping &&
+                                               entry.disturbed_until < now;
+    }
+    for (auto* const group : {&entries_, &agents_}) {
+        for (auto& target : *group) {
+            if (target.is_running && target.is_stopping &&
+                processes_.poll_end(target.name))
+                target.is_running = false;
+        }
+    }
+}
+
+} // namespace sequoiaroute::soak
--- a/tests/support/memory_row_store.hpp
+++ b/tests/support/memory_row_store.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "event/timer_service.hpp"
 #include "rows/row_store.hpp"
 
 #include "manual_timers.hpp"
@@ -24,7 +25,7 @@
         answer_lost, ///< it is done, and no answer comes
     };
 
-    explicit memory_row_store(manual_timers& timers) : timers_(timers) {}
+    explicit memory_row_store(event::timer_service& timers) : timers_(timers) {}
 
     fault next_commits = fault::none;
     fault reads = fault::none;
@@ -34,7 +35,7 @@
     void put(rows::row_key const& key, std::string value)
     {
         write(key, std::move(value), ++version_);
-        wake();
+        wake(key.table);
     }
 
     std::optional<rows::row> find(rows::row_key const& key) const
@@ -134,7 +135,12 @@
         auto const id = ++last_feed_;
         feeds_[id] = {table, after, done};
         later(wait, [this, id] { finish_feed(id); });
-        wake();
+        bool const has_news =
+            std::any_of(history_.begin(), history_.end(), [&](auto const& row) {
+                return row.key.table == table && row.version > after;
+            });
+        if (has_news)
+            later(core::duration(1), [this, id] { finish_feed(id); });
     }
 
 private:
@@ -166,11 +172,16 @@
         result.store_time = timers_.now().time_since_epoch();
         for (auto const& change : changes.writes)
             write(change.key, change.value, version_);
+        std::set<std::string> tables;
+        for (auto const& change : changes.writes)
+            tables.insert(change.key.table);
         for (auto const& key : changes.removals) {
+            tables.insert(key.table);
             if (rows_.erase(key) > 0)
                 history_.push_back({key, {}, version_, true});
         }
-        wake();
+        for (auto const& table : tables)
+            wake(table);
         return result;
     }
 
@@ -182,17 +193,12 @@
         history_.push_back(std::move(row));
     }
 
-    void wake()
+    /// Answers the feeds of a table that has changed.
+    void wake(std::string const& table)
     {
         for (auto const& item : feeds_) {
             auto const id = item.first;
-            auto const& waiting = item.second;
-            bool const has_news = std::any_of(
-                history_.begin(), history_.end(), [&](auto const& row) {
-                    return row.key.table == waiting.table &&
-                           row.version > waiting.after;
-                });
-            if (has_news)
+            if (item.second.table == table)
                 later(core::duration(1), [this, id] { finish_feed(id); });
         }
     }
@@ -224,7 +230,7 @@
         });
     }
 
-    manual_timers& timers_;
+    event::timer_service& timers_;
     rows::row_version version_ = 1;
     rows::row_version history_start_ = 0;
     std::map<rows::row_key, rows::row> rows_;
