placement: Let patient work leave room for the recent peak of urgent work

Ruled out: a fixed share, which would idle workers where little is urgent.

Runs of the soak claim their addresses.

--- a/packages/placement/placement_round.cpp
+++ b/packages/placement/placement_round.cpp
@@ -53,7 +53,7 @@
 
     void serve(std::size_t index, waiting_group const& group)
     {
-        auto const fit = best_fit(workers_, group, &worker::free);
+        auto const fit = fit_beside_reserve(group);
         if (!fit.workers.empty()) {
             take(group, fit.workers);
             result_.placed.push_back({index, agents_of(workers_, fit.workers)});
@@ -73,6 +73,27 @@
     round_result take_result() { return std::move(result_); }
 
 private:
+    /// @return where the tasks fit, without those that would use the reserve
+    group_fit fit_beside_reserve(waiting_group const& group) const
+    {
+        if (group.reserved_accelerators == 0 || group.task.accelerators == 0)
+            return best_fit(workers_, group, &worker::free);
+        std::int64_t free = -group.reserved_accelerators;
+        for (auto const& worker : workers_) {
+            if (worker.is_accepting && worker.service == group.service)
+                free += std::max<std::int64_t>(worker.free.accelerators, 0);
+        }
+        auto const most = static_cast<std::size_t>(
+            std::max<std::int64_t>(free, 0) / group.task.accelerators);
+        if (most >= group.count)
+            return best_fit(workers_, group, &worker::free);
+        auto fewer = group;
+        fewer.count = most;
+        if (group.is_gang || most == 0)
+            return {};
+        return best_fit(workers_, fewer, &worker::free);
+    }
+
     void take(waiting_group const& group, std::span<std::size_t const> indexes)
     {
         for (auto const index : indexes) {
--- a/packages/placement/placement_round.hpp
+++ b/packages/placement/placement_round.hpp
@@ -59,6 +59,8 @@
     bool is_guaranteed = false;
     /// It may be placed off its rack, since waiting longer is worse.
     bool is_any_rack_allowed = false;
+    /// Accelerators of its service that it has to leave free.
+    std::int64_t reserved_accelerators = 0;
     /// Lower groups must not take the room that it waits for.
     bool keeps_room = false;
     /// The highest loss, in core-seconds, that may be caused to start it.
--- a/tests/placement/placement_round_test.cpp
+++ b/tests/placement/placement_round_test.cpp
@@ -190,6 +190,22 @@
     EXPECT_EQ(fit_group(workers, gang, &worker::free), (agents{"slow"}));
 }
 
+// Load: urgent gangs come every second. Guards against patient work that fills
+// the room which the next one needs.
+TEST(placement_round, leaves_the_reserve_of_urgent_work_free)
+{
+    std::vector<worker> const workers{make_worker("a", "r1", 8),
+                                      make_worker("b", "r1", 4)};
+    auto patient = make_group(12, 1);
+    patient.reserved_accelerators = 5;
+    std::vector<waiting_group> waiting{patient};
+    auto const result = run_round(workers, waiting, {});
+    ASSERT_EQ(result.placed.size(), 1U);
+    EXPECT_EQ(result.placed[0].agents.size(), 7U);
+    waiting[0].is_gang = true;
+    EXPECT_TRUE(run_round(workers, waiting, {}).placed.empty());
+}
+
 // Load: room has to be taken back, and the wait for it uses up what the gang
 // can spare. Guards against room on a slow worker, where it would be late.
 TEST(placement_round, takes_room_back_from_fast_workers)
--- a/tests/soak/fleet.cpp
+++ b/tests/soak/fleet.cpp
@@ -24,7 +24,8 @@
 /// Networks of addresses, 127.NETWORK.RUN.INDEX.
 enum network
 {
-    entry_network = 21,
+    claim_network = 20,
+    entry_network,
     agent_network,
     executor_network,
     store_link_network,
@@ -64,10 +65,9 @@
               std::filesystem::path binaries, std::filesystem::path directory,
               size wanted)
 {
-    constexpr int run_numbers = 250;
-    run_number = 1 + static_cast<int>(::getpid()) % run_numbers;
     std::unique_ptr<fleet> self(
         new fleet(loop, random, std::move(binaries), std::move(directory)));
+    SEQUOIA_TRY(self->claim_addresses());
     // References to entries are handed out, so the vectors must not grow later.
     self->entries_.reserve(wanted.entries);
     self->agents_.reserve(wanted.workers);
@@ -82,6 +82,25 @@
     return self;
 }
 
+/// Takes addresses that no other run on this machine uses.
+core::status fleet::claim_addresses()
+{
+    constexpr int run_numbers = 250;
+    core::status outcome = core::success();
+    for (int tried = 0; tried < run_numbers; ++tried) {
+        run_number = 1 + (static_cast<int>(::getpid()) + tried) % run_numbers;
+        auto server = event::http_server::create(
+            loop_, address(claim_network, 0, customer_port), {},
+            [](auto const&, auto const& respond) { respond({}); });
+        if (core::is_ok(server)) {
+            claim_ = core::value(std::move(server));
+            return core::success();
+        }
+        outcome = core::failure(server);
+    }
+    return outcome;
+}
+
 std::string fleet::write_settings(std::string const& name,
                                   std::string const& text) const
 {
--- a/tests/soak/fleet.hpp
+++ b/tests/soak/fleet.hpp
@@ -76,6 +76,7 @@
 private:
     fleet(event::event_loop& loop, random_source& random,
           std::filesystem::path binaries, std::filesystem::path directory);
+    core::status claim_addresses();
     core::status add_entry(std::size_t index);
     core::status add_worker(std::size_t index);
     core::status add_store_link(member& target, std::size_t index);
@@ -98,6 +99,8 @@
     std::vector<std::unique_ptr<executor_server>> executors_;
     std::unique_ptr<customers> callers_;
     std::int64_t version_ = 0;
+    /// Its address is held as long as the run uses the others.
+    std::unique_ptr<event::http_server> claim_;
 };
 
 } // namespace sequoiaroute::soak
