scheduler: Cancel a job whose cancellation came before the job

The entry that cancelled the job was the decider and knew of the cancellation at once; the job itself reached it 60 ms later through the store's feed. A cancellation of an unknown job was dropped.

Ruled out: a late order; the trace shows the first order 13 s after the cancellation, by the decider itself.

Change: a job that is added is cancelled if its cancellation is in the copy. sequoiaroute explain names what a job lost time to (job_diagnosis), refusals carry the id of the job, and the soak checks that the logs tell the way of every completed job from its acceptance to its end.

Figures: the test failed before the change.

--- a/packages/gateway/customer_service.cpp
+++ b/packages/gateway/customer_service.cpp
@@ -125,7 +125,7 @@
                                    customer_responder respond)
 {
     if (!is_current()) {
-        log_call("call_refused", call.path,
+        log_call("call_refused", call.path.substr(call.path.rfind('/') + 1),
                  "the copies of rules and jobs are too old");
         return respond(make_refusal(call_outcome::unavailable));
     }
@@ -134,7 +134,9 @@
     if (queue == nullptr)
         return respond(make_reply(call_outcome::no_queue));
     if (!queue->is_public && !rules->customer_by_key.contains(call.key)) {
-        log_call("call_unauthorized", call.path, queue->terms.queue);
+        log_call("call_unauthorized",
+                 call.path.substr(call.path.rfind('/') + 1),
+                 queue->terms.queue);
         return respond(make_reply(call_outcome::unauthorized));
     }
     auto const job_id = call.path.substr(queue->path_prefix.size());
--- a/packages/programs/explain_command.cpp
+++ b/packages/programs/explain_command.cpp
@@ -1,6 +1,7 @@
 #include "programs/explain_command.hpp"
 
 #include "core/codec.hpp"
+#include "programs/job_diagnosis.hpp"
 
 #include <algorithm>
 #include <fstream>
@@ -16,10 +17,8 @@
 
 struct log_entry
 {
-    std::int64_t time_ms = 0;
-    std::string node;
-    std::string event;
-    std::string details;
+    job_event event;
+    std::string details; ///< all fields, to be printed
 };
 
 bool concerns(json const& line, std::string_view id)
@@ -42,6 +41,27 @@
     return details;
 }
 
+/// @return the first of some fields that the line has
+std::string first_of(json const& line, std::initializer_list<char const*> names)
+{
+    for (auto const* name : names) {
+        auto const found = line.find(name);
+        if (found != line.end() && found->is_string())
+            return found->get<std::string>();
+    }
+    return {};
+}
+
+job_event to_event(json const& line)
+{
+    return {line.value("time_ms", std::int64_t{0}),
+            line.value("node", "?"),
+            line.value("event", "?"),
+            line.value("run", std::string()),
+            first_of(line, {"end", "reason", "outcome", "state", "detail"}),
+            line.value("agent", std::string())};
+}
+
 std::vector<log_entry> select(std::string_view id,
                               std::span<std::string const> lines)
 {
@@ -53,13 +73,11 @@
         auto const line = json::parse(text.substr(brace), nullptr, false);
         if (!line.is_object() || !concerns(line, id))
             continue;
-        entries.push_back({line.value("time_ms", std::int64_t{0}),
-                           line.value("node", "?"), line.value("event", "?"),
-                           describe(line)});
+        entries.push_back({to_event(line), describe(line)});
     }
     std::stable_sort(entries.begin(), entries.end(),
                      [](auto const& left, auto const& right) {
-                         return left.time_ms < right.time_ms;
+                         return left.event.time_ms < right.event.time_ms;
                      });
     return entries;
 }
@@ -69,7 +87,7 @@
 {
     std::set<std::string> seen;
     for (auto const& entry : entries)
-        seen.insert(entry.event);
+        seen.insert(entry.event.event);
     std::string gaps;
     auto const expect = [&](std::string_view first, std::string_view next,
                             std::string_view meaning) {
@@ -99,11 +117,20 @@
     if (entries.empty())
         return fmt::format("no line names {}\n", id);
     std::string story;
+    std::vector<job_event> events;
+    auto const begin_ms = entries.front().event.time_ms;
     for (auto const& entry : entries) {
+        auto const& event = entry.event;
         auto const passed =
-            static_cast<double>(entry.time_ms - entries.front().time_ms) / 1000;
-        story += fmt::format("{:+9.3f} s {:<26}{:<18}{}\n", passed, entry.node,
-                             entry.event, entry.details);
+            static_cast<double>(event.time_ms - begin_ms) / 1000;
+        story += fmt::format("{:+9.3f} s {:<26}{:<18}{}\n", passed, event.node,
+                             event.event, entry.details);
+        events.push_back(event);
+    }
+    for (auto const& loss : diagnose(events)) {
+        story +=
+            fmt::format("lost {:.3f} s: {}\n",
+                        static_cast<double>(loss.lost_ms) / 1000, loss.cause);
     }
     return story + name_gaps(entries);
 }
--- a/packages/scheduler/decider_service.cpp
+++ b/packages/scheduler/decider_service.cpp
@@ -399,7 +399,11 @@
         }
         log_job(core::value(job), changed.version);
         unordered_jobs_.emplace(core::value(job).job_id, timers_.now());
+        auto const id = core::value(job).job_id;
         core_->add_submission(core::value(std::move(job)), timers_.now());
+        // An announced cancellation may have come before its job.
+        if (work_.version_of(rows::layout::cancel_row(id)) != rows::no_row)
+            core_->cancel(id);
     } else if (key.starts_with(rows::layout::cancel_prefix)) {
         core_->cancel(key.substr(rows::layout::cancel_prefix.size()));
     }
--- /dev/null
+++ b/tests/programs/job_diagnosis_test.cpp
@@ -0,0 +1,87 @@
+#include "programs/job_diagnosis.hpp"
+
+#include <gtest/gtest.h>
+
+namespace sequoiaroute::programs {
+namespace {
+
+/// The usual way of a job of one task.
+std::vector<job_event> usual_way()
+{
+    return {{0, "entry-1", "job_accepted", "", "stored", ""},
+            {1, "entry-2", "job_queued", "", "", ""},
+            {10, "entry-2", "run_ordered", "j.0.0.0/1", "", "a"},
+            {25, "agent-1", "start_answered", "j.0.0.0/1", "done", ""},
+            {2025, "agent-1", "run_end_listed", "j.0.0.0/1", "done", ""},
+            {2040, "entry-2", "run_ended", "j.0.0.0/1", "done", "a"},
+            {2040, "entry-2", "job_finished", "", "completed", ""}};
+}
+
+void delay_from(std::vector<job_event>& events, std::size_t first,
+                std::int64_t delay)
+{
+    for (std::size_t index = first; index < events.size(); ++index)
+        events[index].time_ms += delay;
+}
+
+// Guards against causes that are named where nothing was wrong.
+TEST(job_diagnosis, finds_nothing_on_the_usual_way)
+{
+    EXPECT_TRUE(diagnose(usual_way()).empty());
+}
+
+TEST(job_diagnosis, finds_where_the_time_went)
+{
+    struct expectation
+    {
+        std::size_t delayed_event;
+        std::string cause;
+    };
+    for (auto const& [delayed, cause] :
+         {expectation{1, "no decider"}, expectation{2, "waited for room"},
+          expectation{3, "orders reached"},
+          expectation{5, "its end was stored late"}}) {
+        auto events = usual_way();
+        delay_from(events, delayed, 1500);
+        auto const losses = diagnose(events);
+        ASSERT_EQ(losses.size(), 1U) << cause;
+        EXPECT_GE(losses[0].lost_ms, 1500);
+        EXPECT_NE(losses[0].cause.find(cause), std::string::npos)
+            << losses[0].cause;
+    }
+}
+
+// Guards against a gang whose one lost run is counted for each member.
+TEST(job_diagnosis, names_a_run_in_vain_once)
+{
+    std::vector<job_event> events{
+        {0, "entry-1", "job_accepted", "", "stored", ""},
+        {1, "entry-1", "job_queued", "", "", ""},
+        {10, "entry-1", "run_ordered", "j.0.0.0/1", "", "a"},
+        {10, "entry-1", "run_ordered", "j.0.0.1/1", "", "b"},
+        {900, "entry-1", "run_stop_ordered", "j.0.0.0/1",
+         "worker leaves before the end", "a"},
+        {1400, "entry-1", "run_ended", "j.0.0.1/1", "broken", "b"},
+        {1410, "entry-1", "run_ended", "j.0.0.0/1", "stopped", "a"},
+    };
+    auto const losses = diagnose(events);
+    ASSERT_EQ(losses.size(), 1U);
+    EXPECT_EQ(losses[0].lost_ms, 1400);
+    EXPECT_EQ(losses[0].cause,
+              "a run on a was in vain, stopped: worker leaves before the end");
+}
+
+TEST(job_diagnosis, names_refusals_before_the_acceptance)
+{
+    auto events = usual_way();
+    delay_from(events, 0, 1200);
+    events.insert(events.begin(),
+                  {0, "entry-3", "job_refused", "", "the store", ""});
+    auto const losses = diagnose(events);
+    ASSERT_EQ(losses.size(), 1U);
+    EXPECT_EQ(losses[0].lost_ms, 1200);
+    EXPECT_TRUE(losses[0].cause.starts_with("refused 1 times"));
+}
+
+} // namespace
+} // namespace sequoiaroute::programs
--- a/tests/scheduler/decider_service_test.cpp
+++ b/tests/scheduler/decider_service_test.cpp
@@ -336,5 +336,23 @@
     EXPECT_FALSE(order("j", 2));
 }
 
+// Guards against a cancelled job that runs: its cancellation was announced, and
+// the job itself came later through the store's feed.
+TEST_F(decider_service_test, cancels_a_job_that_it_learns_of_later)
+{
+    entry only(store, timers, "one");
+    add_worker("a");
+    timers.advance(1s);
+    store.put(rows::layout::cancel_row("j"), "{}");
+    timers.advance(50ms);
+    add_job("j");
+    timers.advance(100ms);
+    EXPECT_FALSE(order("j"));
+    auto const row = store.find(rows::layout::progress_row("j"));
+    ASSERT_TRUE(row);
+    EXPECT_EQ(core::value(jobs::decode_progress(row->value)).state,
+              jobs::job_state::cancelled);
+}
+
 } // namespace
 } // namespace sequoiaroute::scheduler
--- a/tests/soak/promise_checker.hpp
+++ b/tests/soak/promise_checker.hpp
@@ -65,6 +65,9 @@
     /// although the process ended gracefully.
     void on_broken_answer(std::string const& process, std::string const& what);
 
+    /// The logs do not tell the way of a job.
+    void on_gap_in_logs(std::string gap) { report(std::move(gap)); }
+
     /// Checks what must hold when everything has come to rest.
     void check_rest();
 
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -1,4 +1,5 @@
 #include "soak/fault_plan.hpp"
+#include "soak/story_check.hpp"
 
 #include <csignal>
 #include <cstdio>
@@ -46,9 +47,9 @@
 {
 public:
     soak_run(event::event_loop& loop, std::unique_ptr<soak::fleet> system,
-             soak::random_source& random)
+             soak::random_source& random, std::filesystem::path directory)
         : loop_(loop), system_(std::move(system)),
-          faults_(loop, random, *system_)
+          faults_(loop, random, *system_), directory_(std::move(directory))
     {
     }
 
@@ -86,10 +87,23 @@
         }
     }
 
+    /// The logs have to tell the way of each completed job.
+    void check_stories()
+    {
+        auto& checker = system_->checker();
+        for (auto const& [id, job] : checker.jobs()) {
+            if (!job.is_completed)
+                continue;
+            if (auto const gap = soak::find_gap(directory_, id))
+                checker.on_gap_in_logs(*gap);
+        }
+    }
+
     bool report()
     {
         auto& checker = system_->checker();
         checker.check_rest();
+        check_stories();
         std::size_t accepted = 0;
         for (auto const& [id, job] : checker.jobs())
             accepted += job.was_accepted ? 1 : 0;
@@ -112,6 +126,7 @@
     event::event_loop& loop_;
     std::unique_ptr<soak::fleet> system_;
     soak::fault_plan faults_;
+    std::filesystem::path directory_;
     std::optional<core::time_point> rest_from_;
     core::time_point final_from_{};
     core::duration rest_took_{0};
@@ -138,7 +153,8 @@
         fmt::print("{}\n", core::failure(system).message);
         return EXIT_FAILURE;
     }
-    soak_run run(*core::value(loop), core::value(std::move(system)), random);
+    soak_run run(*core::value(loop), core::value(std::move(system)), random,
+                 directory);
     bool const is_kept = run.run();
     fmt::print("seed {}: {}, logs in {}\n", seed,
                is_kept ? "all promises kept" : "FAILED", directory.string());
--- /dev/null
+++ b/tests/soak/story_check.cpp
@@ -0,0 +1,43 @@
+#include "soak/story_check.hpp"
+
+#include "programs/explain_command.hpp"
+
+#include <array>
+#include <fstream>
+#include <string_view>
+#include <vector>
+
+#include <fmt/format.h>
+
+namespace sequoiaroute::soak {
+
+namespace {
+
+constexpr std::array<std::string_view, 7> promised_events{
+    "job_accepted",   "job_queued", "run_ordered", "start_answered",
+    "run_end_listed", "run_ended",  "job_finished"};
+
+} // namespace
+
+std::optional<std::string> find_gap(std::filesystem::path const& directory,
+                                    std::string const& job)
+{
+    std::vector<std::string> lines;
+    for (auto const& entry : std::filesystem::directory_iterator(directory)) {
+        if (entry.path().extension() != ".output")
+            continue;
+        std::ifstream file(entry.path());
+        for (std::string line; std::getline(file, line);)
+            lines.push_back(line);
+    }
+    auto const story = programs::explain(job, lines);
+    for (auto const event : promised_events) {
+        if (story.find(event) == std::string::npos)
+            return fmt::format("the logs do not say {} of {}", event, job);
+    }
+    if (auto const gap = story.find("missing:"); gap != std::string::npos)
+        return story.substr(gap);
+    return std::nullopt;
+}
+
+} // namespace sequoiaroute::soak
