agents: Start runs only on a life of the executor that was seen just now

The agent was down while its executor crashed and began a new life under the same id. The restarted agent took the life in its last report for present; an order for it was answered by the new life, and was then reported as lost with the old one.

Ruled out: the id that is sent with each order; both lives have it.

Change: a start is held back unless the executor's lists have shown the same life within the last 1.5 s; they are read at once if a start waits.

--- a/packages/agents/agent_service.cpp
+++ b/packages/agents/agent_service.cpp
@@ -21,6 +21,9 @@
 constexpr core::duration retry_delay{150};
 constexpr core::duration longest_publish_delay{600};
 constexpr core::duration look_period{60};
+/// How long the executor's lists show that the same life is there. They arrive
+/// every second at least; after a freeze of this process they are read first.
+constexpr core::duration life_seen_for{1500};
 /// Connections refused on this machine for so long: the executor has ended.
 /// Several refusals are waited for, since one that starts does not listen yet.
 constexpr core::duration gone_after{600};
@@ -170,6 +173,7 @@
         acknowledged_ = 0;
         highest_listed_ = 0;
         clock_read_at_ = {};
+        life_seen_at_ = {};
         refused_since_.reset();
     }
     if (is_new || has_new_state || worker.capacity != worker_.capacity) {
@@ -197,7 +201,9 @@
 
 void agent_service::act()
 {
-    for (auto const& action : book_.next_actions(timers_.now()))
+    auto const now = timers_.now();
+    bool const is_life_seen = now - life_seen_at_ < life_seen_for;
+    for (auto const& action : book_.next_actions(now, is_life_seen))
         send(action);
     tell_decider();
     if (book_.end_count() != published_ends_)
@@ -341,9 +347,11 @@
     note_clock(lists.clock_ms);
     if (lists.born_ms != worker_.executor.born_ms) {
         // A new life that has not announced itself yet.
+        life_seen_at_ = {};
         hold_allowed_at_ = timers_.now() + retry_delay;
         return;
     }
+    life_seen_at_ = asked_at;
     book_.receive(lists, asked_at);
     for (auto const& end : lists.ended) {
         if (end.number <= highest_listed_)
@@ -370,6 +378,7 @@
 void agent_service::receive_silence(bool is_refused)
 {
     hold_allowed_at_ = timers_.now() + retry_delay;
+    life_seen_at_ = {};
     auto const now = timers_.now();
     if (!is_refused) {
         refused_since_.reset();
--- a/packages/agents/agent_service.hpp
+++ b/packages/agents/agent_service.hpp
@@ -99,6 +99,9 @@
     std::int64_t clock_ms_ = 0;
     core::time_point clock_read_at_{};
 
+    /// When the executor was asked for the last lists of the life that is
+    /// known.
+    core::time_point life_seen_at_{};
     bool is_holding_ = false;
     bool is_looking_ = false;
     core::time_point look_allowed_at_{};
--- a/packages/agents/run_book.cpp
+++ b/packages/agents/run_book.cpp
@@ -97,9 +97,11 @@
     }
 }
 
-std::vector<run_book::action> run_book::next_actions(core::time_point now)
+std::vector<run_book::action> run_book::next_actions(core::time_point now,
+                                                     bool may_start)
 {
     std::vector<action> actions;
+    has_held_start_ = false;
     for (auto& [run, target] : runs_) {
         if (target.ended || target.is_under_way || now < target.retry_at)
             continue;
@@ -127,6 +129,10 @@
         }
         if (target.started_at || target.running || !is_ready)
             continue;
+        if (!may_start) {
+            has_held_start_ = true;
+            continue;
+        }
         target.is_under_way = true;
         target.may_be_sent = true;
         actions.push_back({action::kind::start, target.order});
@@ -190,10 +196,12 @@
 
 bool run_book::needs_lists() const
 {
-    return std::any_of(runs_.begin(), runs_.end(), [](auto const& item) {
-        auto const& target = item.second;
-        return !target.ended && (target.awaits_lists || target.stopped_at);
-    });
+    return has_held_start_ ||
+           std::any_of(runs_.begin(), runs_.end(), [](auto const& item) {
+               auto const& target = item.second;
+               return !target.ended &&
+                      (target.awaits_lists || target.stopped_at);
+           });
 }
 
 std::vector<jobs::running_task> run_book::running() const
--- a/packages/agents/run_book.hpp
+++ b/packages/agents/run_book.hpp
@@ -59,9 +59,13 @@
     void receive_answer(action const& sent, order_reply const& reply,
                         core::time_point now);
 
+    /// @param now the current time
+    /// @param may_start whether the life of the executor that is known was seen
+    ///        a moment ago; it may start again under its id, and a start would
+    ///        reach the new life
     /// @return the calls to make now; each counts as under way until its
     ///         answer is given to receive_answer()
-    std::vector<action> next_actions(core::time_point now);
+    std::vector<action> next_actions(core::time_point now, bool may_start);
 
     /// @return runs that the executor has and nobody ordered
     std::vector<jobs::run_id> const& unordered() const { return unordered_; }
@@ -111,6 +115,7 @@
     std::map<jobs::run_id, entry> runs_;
     jobs::worker_description worker_;
     std::vector<jobs::run_id> unordered_;
+    bool has_held_start_ = false; ///< a start waits until it may be sent
     std::uint64_t end_count_ = 0;
     std::uint64_t awaited_end_count_ = 0;
 };
--- a/tests/agents/agent_service_test.cpp
+++ b/tests/agents/agent_service_test.cpp
@@ -61,7 +61,7 @@
         });
         executor_lists lists;
         lists.is_ok = true;
-        lists.born_ms = 1;
+        lists.born_ms = born_ms;
         lists.clock_ms = clock_ms();
         lists.ended = ended;
         for (auto const& [run, order] : running)
@@ -84,6 +84,7 @@
     std::map<jobs::run_id, jobs::run_order> running;
     std::vector<listed_end> ended;
     bool is_refusing = false; ///< nothing listens there
+    std::int64_t born_ms = 1;
     std::map<jobs::run_id, std::int32_t> shares;
     core::duration response_time{0};
     std::int64_t lease_end_ms = 0;
@@ -313,5 +314,29 @@
     EXPECT_EQ(report().worker.state, jobs::worker_state::gone);
 }
 
+// Guards against a run on a life of the executor for which it was not ordered:
+// the executor was started again under its id while the agent was down.
+TEST_F(agent_service_test, starts_nothing_on_a_life_that_it_has_not_seen)
+{
+    begin();
+    timers.advance(2s);
+    executor.born_ms = 2;
+    agent.emplace(store, timers, executor, notices,
+                  agent_service::options{"a", {6s, 1s}});
+    agent->start();
+    timers.advance(50ms);
+    put_order(make_order(0));
+    timers.advance(1s);
+    EXPECT_TRUE(executor.running.empty());
+    jobs::worker_description worker;
+    worker.executor = {"i-1", 2};
+    worker.state = jobs::worker_state::ready;
+    agent->receive_heartbeat(worker, 1);
+    timers.advance(500ms);
+    EXPECT_TRUE(executor.running.empty());
+    ASSERT_EQ(report().ended.size(), 1U);
+    EXPECT_EQ(report().ended[0].end, jobs::run_end::lost);
+}
+
 } // namespace
 } // namespace sequoiaroute::agents
--- a/tests/agents/run_book_test.cpp
+++ b/tests/agents/run_book_test.cpp
@@ -37,7 +37,7 @@
     /// @return the only action; fails the test if there is not exactly one
     run_book::action next()
     {
-        auto const actions = book.next_actions(now);
+        auto const actions = book.next_actions(now, true);
         EXPECT_EQ(actions.size(), 1U);
         return actions.empty() ? run_book::action{} : actions[0];
     }
@@ -57,7 +57,7 @@
 {
     book.put(order, false);
     answer(next(), order_outcome::done);
-    EXPECT_TRUE(book.next_actions(now).empty());
+    EXPECT_TRUE(book.next_actions(now, true).empty());
     book.receive(lists_with_end(jobs::run_end::done), now + 1s);
     ASSERT_EQ(book.ended().size(), 1U);
     EXPECT_EQ(book.ended()[0].end, jobs::run_end::done);
@@ -70,7 +70,7 @@
 TEST_F(run_book_test, reads_the_lists_before_a_start_is_repeated)
 {
     book.put(order, true);
-    EXPECT_TRUE(book.next_actions(now).empty());
+    EXPECT_TRUE(book.next_actions(now, true).empty());
     EXPECT_TRUE(book.needs_lists());
     book.receive(lists_with_end(jobs::run_end::done), now);
     ASSERT_EQ(book.ended().size(), 1U);
@@ -123,7 +123,7 @@
 {
     order.is_to_stop = true;
     book.put(order, false);
-    EXPECT_TRUE(book.next_actions(now).empty());
+    EXPECT_TRUE(book.next_actions(now, true).empty());
     EXPECT_EQ(book.ended().at(0).end, jobs::run_end::stopped);
 }
 
@@ -133,7 +133,7 @@
     worker.state = jobs::worker_state::draining;
     book.set_executor(worker);
     book.put(order, false);
-    EXPECT_TRUE(book.next_actions(now).empty());
+    EXPECT_TRUE(book.next_actions(now, true).empty());
     EXPECT_EQ(book.ended().at(0).end, jobs::run_end::refused);
 }
 
@@ -143,7 +143,7 @@
     answer(next(), order_outcome::done);
     worker.executor.born_ms = 2;
     book.set_executor(worker);
-    EXPECT_TRUE(book.next_actions(now).empty());
+    EXPECT_TRUE(book.next_actions(now, true).empty());
     EXPECT_EQ(book.ended().at(0).end, jobs::run_end::lost);
 }
 
@@ -165,14 +165,25 @@
     order.executor = {"i-1", 5};
     book.put(order, true);
     EXPECT_EQ(book.newest_executor(), order.executor);
-    EXPECT_TRUE(book.next_actions(now).empty());
+    EXPECT_TRUE(book.next_actions(now, true).empty());
     EXPECT_TRUE(book.ended().empty());
     worker.executor = {"i-1", 9};
     book.set_executor(worker);
-    book.next_actions(now);
+    book.next_actions(now, true);
     ASSERT_EQ(book.ended().size(), 1U);
     EXPECT_EQ(book.ended().at(0).end, jobs::run_end::lost);
 }
 
+// Guards against a start that reaches a later life of the executor.
+TEST_F(run_book_test, holds_starts_back_until_the_executor_was_seen)
+{
+    book.put(order, false);
+    EXPECT_FALSE(book.needs_lists());
+    EXPECT_TRUE(book.next_actions(now, false).empty());
+    EXPECT_TRUE(book.needs_lists());
+    EXPECT_EQ(next().what, run_book::action::kind::start);
+    EXPECT_FALSE(book.needs_lists());
+}
+
 } // namespace
 } // namespace sequoiaroute::agents
