--- a/packages/gateway/call_codec.cpp
+++ b/packages/gateway/call_codec.cpp
@@ -13,7 +13,8 @@
                   {"host", call.host},
                   {"path", call.path},
                   {"key", call.key},
-                  {"time_limit_ms", call.time_limit.count()}};
+                  {"time_limit_ms", call.time_limit.count()},
+                  {"body_bytes", call.body_bytes}};
     if (call.spec) {
         jobs::submission carrier;
         carrier.spec = *call.spec;
@@ -31,6 +32,7 @@
         call.path = document.at("path");
         call.key = document.at("key");
         call.time_limit = core::duration(document.at("time_limit_ms"));
+        call.body_bytes = document.at("body_bytes");
         if (auto const job = document.find("job"); job != document.end()) {
             auto carrier = jobs::decode_submission(job->get<std::string>());
             if (core::is_ok(carrier))
--- a/packages/gateway/customer_call.cpp
+++ b/packages/gateway/customer_call.cpp
@@ -15,6 +15,8 @@
         return "queue_length";
     case call_outcome::bad_request:
         return "bad_request";
+    case call_outcome::too_large:
+        return "too_large";
     case call_outcome::no_queue:
         return "no_queue";
     case call_outcome::unauthorized:
--- a/packages/gateway/customer_call.hpp
+++ b/packages/gateway/customer_call.hpp
@@ -27,6 +27,7 @@
     std::string path;
     std::string key; ///< proves who calls; empty if none was sent
     core::duration time_limit{0};
+    std::size_t body_bytes = 0; ///< of the submitted job as it was sent
     /// The submitted job; nothing if the body cannot be read as one.
     std::optional<jobs::job_spec> spec;
 };
@@ -45,6 +46,7 @@
     not_accepted, ///< nothing was stored, and nothing will be
     unknown,      ///< it may have been stored; the same call may be repeated
     unavailable,  ///< nothing was done; another process may be able to
+    too_large,    ///< the job exceeds what the rules allow
 };
 
 /// @return the stable name of an outcome
--- a/packages/gateway/customer_service.cpp
+++ b/packages/gateway/customer_service.cpp
@@ -160,6 +160,10 @@
 void customer_service::submit(customer_call call, jobs::queue_rule const& queue,
                               std::string job_id, customer_responder respond)
 {
+    if (call.body_bytes > rules_.current()->max_body_bytes) {
+        log_call("job_rejected", job_id, "the job is larger than allowed");
+        return respond(make_reply(call_outcome::too_large));
+    }
     if (!call.spec || !is_valid(*call.spec)) {
         log_call("job_rejected", job_id, "the job cannot be read");
         return respond(make_reply(call_outcome::bad_request));
--- a/tests/gateway/customer_service_test.cpp
+++ b/tests/gateway/customer_service_test.cpp
@@ -279,5 +279,31 @@
     EXPECT_EQ(writes.rows.size(), 1U);
 }
 
+// Guards against a job of a size that the operators do not allow.
+TEST_F(customer_service_test, refuses_a_job_that_is_too_large)
+{
+    auto large = make_call(call_kind::submit, "/q/j1");
+    large.body_bytes = rules.rules->max_body_bytes + 1;
+    EXPECT_EQ(send(large).outcome, call_outcome::too_large);
+    EXPECT_FALSE(store.find(rows::layout::job_row("j1")));
+    large.body_bytes = rules.rules->max_body_bytes;
+    EXPECT_EQ(send(large).outcome, call_outcome::accepted);
+}
+
+// Guards against a finished job that is shown as running: the copy of jobs is
+// old although the rules are known to be in force.
+TEST_F(customer_service_test, tells_no_state_from_an_old_copy)
+{
+    EXPECT_EQ(submit("j1"), call_outcome::accepted);
+    timers.advance(10ms);
+    store.reads = memory_row_store::fault::silent;
+    timers.advance(6s);
+    std::optional<customer_reply> received;
+    service.handle_here(make_call(call_kind::read, "/q/j1"),
+                        [&](customer_reply const& reply) { received = reply; });
+    ASSERT_TRUE(received);
+    EXPECT_EQ(received->outcome, call_outcome::unavailable);
+}
+
 } // namespace
 } // namespace sequoiaroute::gateway
