scheduler: Split notices, order loading and logs from the decider

Ruled out: moving the lease to a class of its own as well; its state is shared with the rounds, and a split would only add calls back.

Change: order_loader, announcement_list and change_log are file pairs of their own, the first two with tests. No change of behaviour. The format of one condition in scheduler_core.cpp is corrected.

Without the comparison of versions, order_loader_test.reads_an_old_page_again and decider_service_test.reads_old_pages_of_orders_again fail.

Conclusion: done.

--- /dev/null
+++ b/packages/scheduler/change_log.cpp
@@ -0,0 +1,78 @@
+#include "scheduler/change_log.hpp"
+
+#include "core/event_log.hpp"
+
+#include <algorithm>
+#include <string>
+
+namespace sequoiaroute::scheduler {
+
+namespace {
+
+void log_order(std::string const& job_id, order_change const& order)
+{
+    auto const run = to_text(order.order.run);
+    switch (order.what) {
+    case order_change::kind::start:
+        core::log_event("run_ordered",
+                        {{"job", job_id},
+                         {"run", run},
+                         {"agent", order.order.agent},
+                         {"executor", order.order.executor.id},
+                         {"checkpoint", order.order.checkpoint}});
+        return;
+    case order_change::kind::stop:
+        core::log_event("run_stop_ordered", {{"job", job_id},
+                                             {"run", run},
+                                             {"agent", order.order.agent},
+                                             {"reason", order.reason}});
+        return;
+    case order_change::kind::remove:
+        core::log_event("run_ended", {{"job", job_id},
+                                      {"run", run},
+                                      {"agent", order.order.agent},
+                                      {"end", order.reason}});
+        return;
+    }
+}
+
+} // namespace
+
+void log_queued(jobs::submission const& job, rows::row_version version)
+{
+    std::int64_t tasks = 0;
+    std::int64_t accelerators = 0;
+    core::duration longest_estimate{0};
+    for (auto const& step : job.spec.steps) {
+        longest_estimate = std::max(longest_estimate, step.estimate);
+        tasks += step.task_count;
+        accelerators += step.task_count * step.task.accelerators;
+    }
+    core::log_event(
+        "job_queued",
+        {{"job", job.job_id},
+         {"customer", job.customer},
+         {"queue", job.terms.queue},
+         {"priority", job.terms.priority},
+         {"steps", static_cast<std::int64_t>(job.spec.steps.size())},
+         {"tasks", tasks},
+         {"accelerators", accelerators},
+         {"estimate_ms", longest_estimate.count()},
+         {"version", static_cast<std::int64_t>(version)}});
+}
+
+void log_changes(std::span<job_change const> changes)
+{
+    for (auto const& change : changes) {
+        for (auto const& order : change.orders)
+            log_order(change.job_id, order);
+        if (change.has_just_finished) {
+            core::log_event(
+                "job_finished",
+                {{"job", change.job_id},
+                 {"state", std::string(jobs::name(change.progress.state))}});
+        }
+    }
+}
+
+} // namespace sequoiaroute::scheduler
--- a/packages/scheduler/decider_service.cpp
+++ b/packages/scheduler/decider_service.cpp
@@ -4,6 +4,7 @@
 #include "jobs/row_codec.hpp"
 #include "metrics/metrics.hpp"
 #include "rows/row_layout.hpp"
+#include "scheduler/change_log.hpp"
 
 #include <algorithm>
 #include <chrono>
@@ -27,7 +28,6 @@
 /// Gathers reports of several agents into one answer of the store.
 constexpr core::duration report_pause{20};
 constexpr core::duration lease_timeout{1000};
-constexpr core::duration load_retry{150};
 constexpr core::duration advice_retry{200};
 /// How many entries are asked to take over; one is enough.
 constexpr std::size_t entries_asked = 2;
@@ -39,67 +39,6 @@
         .count();
 }
 
-void log_job(jobs::submission const& job, rows::row_version version)
-{
-    std::int64_t tasks = 0;
-    std::int64_t accelerators = 0;
-    core::duration longest_estimate{0};
-    for (auto const& step : job.spec.steps) {
-        longest_estimate = std::max(longest_estimate, step.estimate);
-        tasks += step.task_count;
-        accelerators += step.task_count * step.task.accelerators;
-    }
-    core::log_event(
-        "job_queued",
-        {{"job", job.job_id},
-         {"customer", job.customer},
-         {"queue", job.terms.queue},
-         {"priority", job.terms.priority},
-         {"steps", static_cast<std::int64_t>(job.spec.steps.size())},
-         {"tasks", tasks},
-         {"accelerators", accelerators},
-         {"estimate_ms", longest_estimate.count()},
-         {"version", static_cast<std::int64_t>(version)}});
-}
-
-void log_changes(std::vector<job_change> const& changes)
-{
-    for (auto const& change : changes) {
-        for (auto const& order : change.orders) {
-            auto const run = to_text(order.order.run);
-            switch (order.what) {
-            case order_change::kind::start:
-                core::log_event("run_ordered",
-                                {{"job", change.job_id},
-                                 {"run", run},
-                                 {"agent", order.order.agent},
-                                 {"executor", order.order.executor.id},
-                                 {"checkpoint", order.order.checkpoint}});
-                break;
-            case order_change::kind::stop:
-                core::log_event("run_stop_ordered",
-                                {{"job", change.job_id},
-                                 {"run", run},
-                                 {"agent", order.order.agent},
-                                 {"reason", order.reason}});
-                break;
-            case order_change::kind::remove:
-                core::log_event("run_ended", {{"job", change.job_id},
-                                              {"run", run},
-                                              {"agent", order.order.agent},
-                                              {"end", order.reason}});
-                break;
-            }
-        }
-        if (change.has_just_finished) {
-            core::log_event(
-                "job_finished",
-                {{"job", change.job_id},
-                 {"state", std::string(jobs::name(change.progress.state))}});
-        }
-    }
-}
-
 } // namespace
 
 decider_service::decider_service(
@@ -269,8 +208,8 @@
     commits_ = std::make_unique<commit_queue>(store_, timers_, *wanted_,
                                               version, observer);
     wanted_.reset();
-    loaded_orders_.clear();
-    loaded_tables_ = 0;
+    orders_ = std::make_unique<order_loader>(
+        store_, timers_, version, [this] { build_core_if_loaded(); });
     reports_ = std::make_unique<rows::table_replica>(
         store_, timers_,
         rows::table_replica::options{std::string(rows::layout::reports_table),
@@ -280,8 +219,7 @@
         [this](rows::row const& changed) { observe_report(changed, false); },
         [this] { decide_soon(); });
     reports_->start();
-    for (std::size_t table = 0; table < rows::layout::order_tables; ++table)
-        load_orders(table, {});
+    orders_->start();
 }
 
 void decider_service::resign(std::string_view reason)
@@ -289,55 +227,20 @@
     core::log_event("lease_lost", {{"reason", std::string(reason)}});
     core_.reset();
     unordered_jobs_.clear();
-    announcements_.clear();
+    announcements_ = {};
+    orders_.reset();
     reports_.reset();
     commits_.reset();
     decide_timer_.reset();
     lease_changed_at_ = timers_.now();
 }
 
-void decider_service::load_orders(std::size_t table, std::string const& from)
-{
-    std::weak_ptr<bool> const alive = alive_;
-    auto const term_version = acquired_version_;
-    store_.read(
-        {rows::layout::order_table(table), std::string(rows::layout::work_part),
-         from, std::nullopt},
-        [this, alive, table, from, term_version](rows::page const& page) {
-            if (alive.expired() || term_version != acquired_version_ ||
-                commits_ == nullptr)
-                return;
-            // After the store has dropped its history, readings may be old.
-            if (!page.is_ok || page.version < acquired_version_) {
-                load_timers_[table] =
-                    timers_.after(load_retry, [this, table, from] {
-                        load_orders(table, from);
-                    });
-                return;
-            }
-            for (auto const& row : page.rows) {
-                auto order = jobs::decode_order(row.value);
-                if (core::is_ok(order)) {
-                    loaded_orders_.push_back(core::value(std::move(order)));
-                } else {
-                    core::log_event("row_unreadable",
-                                    {{"key", row.key.key},
-                                     {"fault", core::failure(order).message}});
-                }
-            }
-            if (page.has_more)
-                return load_orders(table, page.rows.back().key.key + '\0');
-            ++loaded_tables_;
-            build_core_if_loaded();
-        });
-}
-
 void decider_service::build_core_if_loaded()
 {
     bool const has_own_lease =
         work_.version_of(rows::layout::lease_row()) >= acquired_version_;
     if (core_ != nullptr || commits_ == nullptr || !has_own_lease ||
-        !reports_->is_loaded() || loaded_tables_ != rows::layout::order_tables)
+        !reports_->is_loaded() || !orders_->is_loaded())
         return;
     core_ = std::make_unique<scheduler_core>(options_.limits);
     std::vector<rows::row const*> ordered;
@@ -371,14 +274,15 @@
         if (row->key.key.starts_with(rows::layout::cancel_prefix))
             add_row(*row);
     }
-    for (auto& order : loaded_orders_)
+    auto loaded_orders = orders_->take();
+    auto const order_count = static_cast<std::int64_t>(loaded_orders.size());
+    for (auto& order : loaded_orders)
         core_->restore_order(std::move(order), now);
     core::log_event(
         "decider_ready",
         {{"jobs", static_cast<std::int64_t>(core_->jobs().size())},
-         {"orders", static_cast<std::int64_t>(loaded_orders_.size())},
+         {"orders", order_count},
          {"workers", static_cast<std::int64_t>(reports_->rows().size())}});
-    loaded_orders_.clear();
     for (auto const& [key, row] : reports_->rows())
         observe_report(row, true);
     decide_soon();
@@ -397,7 +301,7 @@
                 {{"key", key}, {"fault", core::failure(job).message}});
             return;
         }
-        log_job(core::value(job), changed.version);
+        log_queued(core::value(job), changed.version);
         unordered_jobs_.emplace(core::value(job).job_id, timers_.now());
         auto const id = core::value(job).job_id;
         core_->add_submission(core::value(std::move(job)), timers_.now());
@@ -469,44 +373,14 @@
 void decider_service::on_written(rows::transaction const& written,
                                  rows::row_version version)
 {
-    std::map<std::string, notices::row_notice> by_address;
-    auto const port = options_.address.substr(options_.address.rfind(':'));
-    for (auto const& write : written.writes) {
-        auto const found = announcements_.find(write.key);
-        if (found == announcements_.end())
-            continue;
-        rows::row const row{write.key, write.value, version, false};
-        if (!found->second.agent.empty()) {
-            by_address[found->second.agent + port].rows.push_back(row);
-        } else {
-            for (auto const& entry : peers_.entries())
-                by_address[entry].rows.push_back(row);
-        }
-        announcements_.erase(found);
-    }
-    for (auto& [address, notice] : by_address) {
-        notice.decider_address = options_.address;
+    for (auto& [address, notice] : announcements_.take(
+             written.writes, version, options_.address, peers_.entries()))
         peers_.sender.send_rows(address, notice);
-    }
 }
 
-/// Writes changes, and remembers which of their rows to announce: the orders
-/// and the ends of urgent work, and stops that make room for it.
 void decider_service::write(std::vector<job_change> changes)
 {
-    for (auto const& change : changes) {
-        for (auto const& order : change.orders) {
-            bool const is_start =
-                order.what == order_change::kind::start && change.is_urgent;
-            if (is_start || order.what == order_change::kind::stop) {
-                auto const key = rows::layout::order_row(
-                    order.order.agent, to_text(order.order.run));
-                announcements_[key] = {order.order.agent};
-            }
-        }
-        if (change.has_just_finished && change.is_urgent)
-            announcements_[rows::layout::progress_row(change.job_id)] = {};
-    }
+    announcements_.add(changes);
     commits_->push(split_retired(std::move(changes)));
 }
 
--- a/packages/scheduler/decider_service.hpp
+++ b/packages/scheduler/decider_service.hpp
@@ -5,7 +5,9 @@
 #include "notices/notice_sender.hpp"
 #include "rows/row_store.hpp"
 #include "rows/table_replica.hpp"
+#include "scheduler/announcement_list.hpp"
 #include "scheduler/commit_queue.hpp"
+#include "scheduler/order_loader.hpp"
 #include "scheduler/scheduler_core.hpp"
 
 #include <functional>
@@ -77,12 +79,6 @@
     bool is_decider() const { return commits_ != nullptr; }
 
 private:
-    /// To whom a row is announced once it is stored.
-    struct announcement
-    {
-        std::string agent; ///< empty for all entries
-    };
-
     void on_written(rows::transaction const& written,
                     rows::row_version version) override;
     void on_idle() override;
@@ -96,7 +92,6 @@
     void receive_lease(rows::commit_result const& result);
     void become_decider(rows::row_version version);
     void resign(std::string_view reason);
-    void load_orders(std::size_t table, std::string const& from);
     void observe_report(rows::row const& changed, bool is_from_loading);
     void build_core_if_loaded();
     void add_row(rows::row const& changed);
@@ -130,20 +125,17 @@
     std::unique_ptr<commit_queue> commits_;
     rows::row_version acquired_version_ = rows::no_row;
     std::unique_ptr<rows::table_replica> reports_;
-    std::vector<jobs::run_order> loaded_orders_;
-    std::size_t loaded_tables_ = 0;
+    std::unique_ptr<order_loader> orders_;
     std::unique_ptr<scheduler_core> core_;
     /// Jobs without an order yet, and since when.
     std::map<std::string, core::time_point> unordered_jobs_;
-    /// Rows of urgent work that are on their way to the store.
-    std::map<rows::row_key, announcement> announcements_;
+    announcement_list announcements_;
     bool has_news_ = false;
     bool is_asking_advice_ = false;
     std::int64_t wall_offset_ms_;
 
     std::unique_ptr<event::timer> tick_timer_;
     std::unique_ptr<event::timer> decide_timer_;
-    std::map<std::size_t, std::unique_ptr<event::timer>> load_timers_;
     std::unique_ptr<event::timer> resign_timer_;
     std::unique_ptr<event::timer> advice_timer_;
     std::shared_ptr<bool> alive_ = std::make_shared<bool>(true);
--- /dev/null
+++ b/packages/scheduler/order_loader.cpp
@@ -0,0 +1,78 @@
+#include "scheduler/order_loader.hpp"
+
+#include "core/event_log.hpp"
+#include "jobs/row_codec.hpp"
+#include "rows/row_layout.hpp"
+
+#include <optional>
+#include <utility>
+
+namespace sequoiaroute::scheduler {
+
+namespace {
+
+constexpr core::duration load_retry{150};
+
+} // namespace
+
+order_loader::order_loader(rows::row_store& store, event::timer_service& timers,
+                           rows::row_version oldest,
+                           std::function<void()> when_loaded)
+    : store_(store), timers_(timers), oldest_(oldest),
+      when_loaded_(std::move(when_loaded))
+{
+}
+
+void order_loader::start()
+{
+    for (std::size_t table = 0; table < rows::layout::order_tables; ++table)
+        load(table, {});
+}
+
+bool order_loader::is_loaded() const
+{
+    return loaded_tables_ == rows::layout::order_tables;
+}
+
+std::vector<jobs::run_order> order_loader::take()
+{
+    return std::exchange(orders_, {});
+}
+
+void order_loader::load(std::size_t table, std::string const& from)
+{
+    std::weak_ptr<bool> const alive = alive_;
+    store_.read({rows::layout::order_table(table),
+                 std::string(rows::layout::work_part), from, std::nullopt},
+                [this, alive, table, from](rows::page const& page) {
+                    if (!alive.expired())
+                        receive(table, from, page);
+                });
+}
+
+void order_loader::receive(std::size_t table, std::string const& from,
+                           rows::page const& page)
+{
+    if (!page.is_ok || page.version < oldest_) {
+        retries_[table] = timers_.after(
+            load_retry, [this, table, from] { load(table, from); });
+        return;
+    }
+    for (auto const& row : page.rows) {
+        auto order = jobs::decode_order(row.value);
+        if (core::is_ok(order)) {
+            orders_.push_back(core::value(std::move(order)));
+        } else {
+            core::log_event("row_unreadable",
+                            {{"key", row.key.key},
+                             {"fault", core::failure(order).message}});
+        }
+    }
+    if (page.has_more)
+        return load(table, page.rows.back().key.key + '\0');
+    ++loaded_tables_;
+    if (is_loaded())
+        when_loaded_();
+}
+
+} // namespace sequoiaroute::scheduler
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -386,10 +386,10 @@
     for (auto const& [service, accelerators] : capacity)
         urgent_reserve_.observe(service, urgent[service], now);
     for (auto& entry : waiting) {
-        bool const can_wait = entry.group.priority > 0 &&
-                              entry.order_class > 1 &&
-                              (now + patient_reserve_time < entry.latest_start ||
-                               now > entry.latest_start);
+        bool const can_wait =
+            entry.group.priority > 0 && entry.order_class > 1 &&
+            (now + patient_reserve_time < entry.latest_start ||
+             now > entry.latest_start);
         if (can_wait) {
             entry.group.reserved_accelerators = urgent_reserve_.wanted(
                 entry.group.service, capacity[entry.group.service]);
