--- a/tests/soak/customers.cpp
+++ b/tests/soak/customers.cpp
@@ -53,8 +53,9 @@
     return entries_[random_.below(entries_.size())];
 }
 
-void customers::call(entry& target, std::string method, std::string const& id,
-                     std::string body, event::http_client::callback done)
+void customers::call(entry& target, std::string const& method,
+                     std::string const& id, std::string body,
+                     event::http_client::callback done)
 {
     event::http_headers const headers{
         {"Host", "jobs.example"},
--- a/tests/soak/customers.hpp
+++ b/tests/soak/customers.hpp
@@ -50,7 +50,7 @@
     void ask(std::string const& id);
     void cancel(std::string const& id);
     entry& pick();
-    void call(entry& target, std::string method, std::string const& id,
+    void call(entry& target, std::string const& method, std::string const& id,
               std::string body, event::http_client::callback done);
 
     event::event_loop& loop_;
