tests/workers: Give each test of the agent's settings a key file of its own

All tests of the fixture wrote and removed the same key file, and ctest runs each as a process, several at once: one test removed the file that another was about to read.

Ruled out: load. Three of the tests, eight processes at once, failed in 16 of 120 runs on a quiet machine.

Change: the name of the file has the id of the process.

Conclusion: a fault of the test; the check is unchanged.

--- a/tests/workers/agent_process_test.cpp
+++ b/tests/workers/agent_process_test.cpp
@@ -4,8 +4,10 @@
 
 #include <cstdio>
 #include <fstream>
+#include <string>
 
 #include <gtest/gtest.h>
+#include <unistd.h>
 
 namespace sequoiaroute::workers {
 namespace {
@@ -43,7 +45,9 @@
         return is_ok(outcome) ? "" : failure(outcome).message;
     }
 
-    std::string key_file_ = testing::TempDir() + "agent-process-test.key";
+    // Each test is a process of its own, and several run at once.
+    std::string key_file_ = testing::TempDir() + "agent-process-test-" +
+                            std::to_string(::getpid()) + ".key";
     std::string address_ = support::free_address();
 };
 
