programs: Name late orders and the wait of later tasks in explain

An agent's line of a start that went well has an empty reason, which was read instead of the outcome, so that no start counted as done and no late order was named. A wait was named for the first order of a job only.

Change: empty fields are passed over; the longest wait of a task after the first one of its step is a loss of its own. Two tests fail without this.

Conclusion: done; the programs that schedule are unchanged.

--- a/packages/programs/explain_command.cpp
+++ b/packages/programs/explain_command.cpp
@@ -41,13 +41,15 @@
     return details;
 }
 
-/// @return the first of some fields that the line has
+/// @return the first of some fields that is not empty
 std::string first_of(json const& line, std::initializer_list<char const*> names)
 {
     for (auto const* name : names) {
         auto const found = line.find(name);
-        if (found != line.end() && found->is_string())
-            return found->get<std::string>();
+        if (found == line.end() || !found->is_string())
+            continue;
+        if (auto text = found->get<std::string>(); !text.empty())
+            return text;
     }
     return {};
 }
--- a/packages/programs/job_diagnosis.cpp
+++ b/packages/programs/job_diagnosis.cpp
@@ -65,6 +65,9 @@
             add_loss(*first_order_at_ - *queued_at_,
                      "waited for room on workers");
         }
+        add_loss(longest_step_wait_ms(),
+                 "a task waited for room on workers, after the first of its "
+                 "step");
         add_loss(slowest_order_ms(),
                  "orders reached their agents late, see store_lost and "
                  "store_write_unanswered");
@@ -117,6 +120,25 @@
                  fmt::format("a run on {} was in vain, {}", event.agent, why));
     }
 
+    /// @return how long after the first task of its step another one was first
+    ///         ordered
+    std::int64_t longest_step_wait_ms() const
+    {
+        std::int64_t longest = 0;
+        std::map<std::string, std::int64_t> begins;
+        for (auto const& [run, ordered] : ordered_at_) {
+            auto const step = run.substr(0, run.rfind('.'));
+            auto const [found, is_new] = begins.emplace(step, ordered);
+            found->second = std::min(found->second, ordered);
+        }
+        for (auto const& [run, ordered] : ordered_at_) {
+            if (run.ends_with("/1"))
+                longest = std::max(
+                    longest, ordered - begins[run.substr(0, run.rfind('.'))]);
+        }
+        return longest;
+    }
+
     std::int64_t slowest_order_ms() const
     {
         std::int64_t slowest = 0;
--- a/tests/programs/explain_command_test.cpp
+++ b/tests/programs/explain_command_test.cpp
@@ -38,5 +38,19 @@
     EXPECT_NE(explain("j3", lines).find("no line names j3"), std::string::npos);
 }
 
+// Guards against a late order that is not named: an agent's line of a start
+// that went well has an empty reason beside the outcome.
+TEST(explain, names_an_order_that_came_late)
+{
+    std::vector<std::string> const late{
+        R"({"time_ms":10,"node":"e","event":"run_ordered","job":"j1",)"
+        R"("run":"j1.0.0.0/1","agent":"a"})",
+        R"({"time_ms":1510,"node":"a","event":"start_answered",)"
+        R"("run":"j1.0.0.0/1","outcome":"done","reason":""})"};
+    EXPECT_NE(explain("j1", late).find("lost 1.500 s: orders reached"),
+              std::string::npos)
+        << explain("j1", late);
+}
+
 } // namespace
 } // namespace sequoiaroute::programs
--- a/tests/programs/job_diagnosis_test.cpp
+++ b/tests/programs/job_diagnosis_test.cpp
@@ -83,5 +83,17 @@
     EXPECT_TRUE(losses[0].cause.starts_with("refused 1 times"));
 }
 
+// Guards against a job that is late for one task, whose wait is not named.
+TEST(job_diagnosis, names_the_wait_of_a_later_task)
+{
+    auto events = usual_way();
+    events.insert(events.begin() + 4,
+                  {1510, "entry-2", "run_ordered", "j.0.0.1/1", "", "b"});
+    auto const losses = diagnose(events);
+    ASSERT_EQ(losses.size(), 1U);
+    EXPECT_EQ(losses[0].lost_ms, 1500);
+    EXPECT_NE(losses[0].cause.find("a task waited"), std::string::npos);
+}
+
 } // namespace
 } // namespace sequoiaroute::programs
