scheduler, rows: Call one piece of code where the same stood twice

Cause: a reading of the whole change found logic that was written again: the log line of an unreadable row in six places, the range of one row in three, the recognition of an own lease in a conflict in two, the time left for a customer's write in two, the step of a task and its done tasks in several, and the building of an assignment in two.

Ruled out: one type for the constants of services that only look alike, and a base for the four calls of monitored_store; they share no decision.

Change: rows::log_unreadable, rows::layout::only, find_lease, time_for_writes, is_step_done, tasks_of_step, scheduler_core::assign, and step_of and key_of where they were written out. No change of behaviour; no test was touched.

Conclusion: done.

--- a/packages/agents/agent_service.cpp
+++ b/packages/agents/agent_service.cpp
@@ -4,6 +4,7 @@
 #include "jobs/row_codec.hpp"
 #include "metrics/metrics.hpp"
 #include "rows/row_layout.hpp"
+#include "rows/unreadable_row.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -57,22 +58,20 @@
 {
     auto const key = rows::layout::report_row(options_.agent);
     std::weak_ptr<bool> const alive = alive_;
-    store_.read({key.table, key.part, key.key, key.key + '\0', 1},
-                [this, alive](rows::page const& page) {
-                    if (alive.expired())
-                        return;
-                    if (!page.is_ok) {
-                        load_timer_ = timers_.after(retry_delay,
-                                                    [this] { load_report(); });
-                        return;
-                    }
-                    note_store_time(page.store_time);
-                    if (!page.rows.empty()) {
-                        report_version_ = page.rows[0].version;
-                        current_report_ = page.rows[0].value;
-                    }
-                    orders_.start();
-                });
+    store_.read(rows::layout::only(key), [this, alive](rows::page const& page) {
+        if (alive.expired())
+            return;
+        if (!page.is_ok) {
+            load_timer_ = timers_.after(retry_delay, [this] { load_report(); });
+            return;
+        }
+        note_store_time(page.store_time);
+        if (!page.rows.empty()) {
+            report_version_ = page.rows[0].version;
+            current_report_ = page.rows[0].value;
+        }
+        orders_.start();
+    });
 }
 
 void agent_service::receive_order(rows::row const& changed)
@@ -81,9 +80,7 @@
                                           : changed.value;
     auto order = jobs::decode_order(text);
     if (!core::is_ok(order)) {
-        core::log_event("row_unreadable",
-                        {{"key", changed.key.key},
-                         {"fault", core::failure(order).message}});
+        rows::log_unreadable(changed, core::failure(order));
         return;
     }
     if (changed.is_removed)
--- a/packages/gateway/customer_service.cpp
+++ b/packages/gateway/customer_service.cpp
@@ -46,6 +46,13 @@
     core::log_event(event, {{"job", job}, {"detail", std::string(detail)}});
 }
 
+core::duration time_for_writes(customer_call const& call)
+{
+    auto const limit = call.time_limit > core::duration(0) ? call.time_limit
+                                                           : default_time_limit;
+    return limit - answer_reserve;
+}
+
 bool is_valid(jobs::job_spec const& spec)
 {
     if (spec.steps.empty())
@@ -188,9 +195,7 @@
     write->is_urgent = queue.terms.is_urgent();
     write->job_id = std::move(job_id);
     write->respond = std::move(respond);
-    auto const limit = call.time_limit > core::duration(0) ? call.time_limit
-                                                           : default_time_limit;
-    write->give_up_at = timers_.now() + limit - answer_reserve;
+    write->give_up_at = timers_.now() + time_for_writes(call);
     send(write);
 }
 
@@ -207,9 +212,7 @@
     write->changes.writes.push_back({rows::layout::cancel_row(job_id), "{}"});
     write->success = call_outcome::cancelled;
     write->job_id = job_id;
-    auto const limit = call.time_limit > core::duration(0) ? call.time_limit
-                                                           : default_time_limit;
-    write->give_up_at = timers_.now() + limit - answer_reserve;
+    write->give_up_at = timers_.now() + time_for_writes(call);
     if (known) {
         write->respond = std::move(respond);
         return send(write);
@@ -238,9 +241,7 @@
 void customer_service::ask_store(std::string const& job_id,
                                  customer_responder respond)
 {
-    auto key = rows::layout::job_row(job_id);
-    auto until = key.key + '\0';
-    store_.read({key.table, key.part, key.key, std::move(until), 1},
+    store_.read(rows::layout::only(rows::layout::job_row(job_id)),
                 [respond = std::move(respond)](rows::page const& page) {
                     if (!page.is_ok)
                         return respond(make_refusal(call_outcome::unavailable));
--- a/packages/gateway/job_directory.cpp
+++ b/packages/gateway/job_directory.cpp
@@ -1,8 +1,8 @@
 #include "gateway/job_directory.hpp"
 
-#include "core/event_log.hpp"
 #include "jobs/row_codec.hpp"
 #include "rows/row_layout.hpp"
+#include "rows/unreadable_row.hpp"
 
 #include <algorithm>
 
@@ -18,12 +18,6 @@
     return key.substr(prefix.size());
 }
 
-void log_unreadable(rows::row const& changed, core::error const& fault)
-{
-    core::log_event("row_unreadable",
-                    {{"key", changed.key.key}, {"fault", fault.message}});
-}
-
 } // namespace
 
 void job_directory::observe(rows::row const& changed)
@@ -51,7 +45,7 @@
             job.queue = core::value(submission).terms.queue;
             job.is_repeated = core::value(submission).spec.is_repeated();
         } else {
-            log_unreadable(changed, core::failure(submission));
+            rows::log_unreadable(changed, core::failure(submission));
         }
     }
     erase_if_unknown(id);
@@ -69,7 +63,7 @@
             job.has_started = core::value(progress).has_started;
             job.state = core::value(progress).state;
         } else {
-            log_unreadable(changed, core::failure(progress));
+            rows::log_unreadable(changed, core::failure(progress));
         }
     }
     erase_if_unknown(id);
--- a/packages/rows/row_layout.cpp
+++ b/packages/rows/row_layout.cpp
@@ -28,6 +28,11 @@
 
 } // namespace
 
+range only(row_key const& key)
+{
+    return {key.table, key.part, key.key, key.key + '\0', 1};
+}
+
 row_key lease_row()
 {
     return work_row("lease", "");
--- a/packages/rows/row_layout.hpp
+++ b/packages/rows/row_layout.hpp
@@ -23,6 +23,9 @@
 inline constexpr std::string_view cancel_prefix = "cancel/";
 inline constexpr std::string_view progress_prefix = "progress/";
 
+/// @return the range that holds one row only
+range only(row_key const& key);
+
 /// @return the row of the decider's lease
 row_key lease_row();
 
--- /dev/null
+++ b/packages/rows/unreadable_row.cpp
@@ -0,0 +1,13 @@
+#include "rows/unreadable_row.hpp"
+
+#include "core/event_log.hpp"
+
+namespace sequoiaroute::rows {
+
+void log_unreadable(row const& unreadable, core::error const& fault)
+{
+    core::log_event("row_unreadable",
+                    {{"key", unreadable.key.key}, {"fault", fault.message}});
+}
+
+} // namespace sequoiaroute::rows
--- a/packages/scheduler/commit_queue.cpp
+++ b/packages/scheduler/commit_queue.cpp
@@ -47,6 +47,16 @@
             document.value("renewals", std::int64_t{0})};
 }
 
+std::optional<rows::row_version> find_lease(rows::commit_result const& conflict,
+                                            std::string_view encoded)
+{
+    for (auto const& row : conflict.current) {
+        if (row.key == rows::layout::lease_row() && row.value == encoded)
+            return row.version;
+    }
+    return std::nullopt;
+}
+
 commit_queue::commit_queue(rows::row_store& store, event::timer_service& timers,
                            lease_record lease, rows::row_version version,
                            commit_observer& observer)
@@ -160,12 +170,8 @@
     case rows::commit_outcome::committed:
         return finish(result.version);
     case rows::commit_outcome::conflict:
-        for (auto const& row : result.current) {
-            // An earlier sending took effect although its answer was lost.
-            if (row.key == rows::layout::lease_row() &&
-                row.value == current_lease_)
-                return finish(row.version);
-        }
+        if (auto const version = find_lease(result, current_lease_))
+            return finish(*version);
         return observer_.on_lease_lost();
     case rows::commit_outcome::not_done:
     case rows::commit_outcome::unknown:
--- a/packages/scheduler/commit_queue.hpp
+++ b/packages/scheduler/commit_queue.hpp
@@ -8,8 +8,10 @@
 #include <cstdint>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace sequoiaroute::scheduler {
@@ -31,6 +33,13 @@
 /// @return the record; one without a holder if the text is not valid
 lease_record decode_lease(std::string_view text);
 
+/// Recognises that an earlier sending took effect although its answer was lost.
+/// @param conflict what the store answered to the next one
+/// @param encoded the lease as it was sent
+/// @return the version of the lease row if it holds that lease
+std::optional<rows::row_version> find_lease(rows::commit_result const& conflict,
+                                            std::string_view encoded);
+
 /// Learns how the decider's changes are written.
 class commit_observer
 {
--- a/packages/scheduler/decider_service.cpp
+++ b/packages/scheduler/decider_service.cpp
@@ -4,6 +4,7 @@
 #include "jobs/row_codec.hpp"
 #include "metrics/metrics.hpp"
 #include "rows/row_layout.hpp"
+#include "rows/unreadable_row.hpp"
 #include "scheduler/change_log.hpp"
 
 #include <algorithm>
@@ -139,7 +140,7 @@
     auto const asked_at = timers_.now();
     std::weak_ptr<bool> const alive = alive_;
     store_.read(
-        {key.table, key.part, key.key, key.key + '\0', 1},
+        rows::layout::only(key),
         [this, alive, asked_at, is_wait_needed](rows::page const& page) {
             if (alive.expired())
                 return;
@@ -189,11 +190,10 @@
         return become_decider(result.version);
     if (result.outcome != rows::commit_outcome::conflict)
         return;
-    for (auto const& row : result.current) {
-        if (row.key == rows::layout::lease_row() && wanted_ &&
-            row.value == encode(*wanted_))
-            return become_decider(row.version);
-    }
+    if (!wanted_)
+        return;
+    if (auto const version = find_lease(result, encode(*wanted_)))
+        become_decider(*version);
 }
 
 void decider_service::become_decider(rows::row_version version)
@@ -265,9 +265,7 @@
             core_->restore_progress(row->key.key.substr(prefix.size()),
                                     core::value(std::move(progress)), now);
         } else {
-            core::log_event("row_unreadable",
-                            {{"key", row->key.key},
-                             {"fault", core::failure(progress).message}});
+            rows::log_unreadable(*row, core::failure(progress));
         }
     }
     for (auto const* row : ordered) {
@@ -296,9 +294,7 @@
     if (key.starts_with(rows::layout::job_prefix)) {
         auto job = jobs::decode_submission(changed.value);
         if (!core::is_ok(job)) {
-            core::log_event(
-                "row_unreadable",
-                {{"key", key}, {"fault", core::failure(job).message}});
+            rows::log_unreadable(changed, core::failure(job));
             return;
         }
         log_queued(core::value(job), changed.version);
@@ -320,9 +316,7 @@
         return;
     auto report = jobs::decode_report(changed.value);
     if (!core::is_ok(report)) {
-        core::log_event("row_unreadable",
-                        {{"key", changed.key.key},
-                         {"fault", core::failure(report).message}});
+        rows::log_unreadable(changed, core::failure(report));
         return;
     }
     auto heard_at = timers_.now();
--- a/packages/scheduler/group_builder.cpp
+++ b/packages/scheduler/group_builder.cpp
@@ -1,5 +1,7 @@
 #include "scheduler/group_builder.hpp"
 
+#include "scheduler/job_tasks.hpp"
+
 #include <algorithm>
 #include <limits>
 #include <tuple>
@@ -106,7 +108,7 @@
 {
     std::map<std::string, std::size_t> running;
     for (auto const& [task, run] : job.assignments) {
-        if (task.occurrence == key.occurrence && task.step == key.step)
+        if (key_of(task) == key)
             ++running[run.order.agent];
     }
     return running;
@@ -206,9 +208,7 @@
 {
     if (!run.seen_running_at)
         return 0;
-    auto const& step =
-        job.submission.spec
-            .steps[static_cast<std::size_t>(run.order.run.task.step)];
+    auto const& step = step_of(job, run.order.run.task);
     auto seconds =
         static_cast<double>((now - *run.seen_running_at).count()) / 1000;
     if (step.has_checkpoints)
@@ -224,11 +224,8 @@
     auto const& after = job.spec.steps[step].after;
     return std::all_of(after.begin(), after.end(), [&](std::int32_t before) {
         auto const position = static_cast<std::size_t>(before);
-        if (position >= occurrence.steps.size())
-            return true;
-        auto const& tasks = occurrence.steps[position];
-        return std::all_of(tasks.begin(), tasks.end(),
-                           [](auto const& task) { return task.is_done; });
+        return position >= occurrence.steps.size() ||
+               is_step_done(occurrence.steps[position]);
     });
 }
 
@@ -287,11 +284,10 @@
     for (auto const& [id, job] : jobs) {
         std::map<step_key, std::size_t> gangs;
         for (auto const& [task, run] : job.assignments) {
-            auto const& step =
-                job.submission.spec.steps[static_cast<std::size_t>(task.step)];
+            auto const& step = step_of(job, task);
             if (run.is_stopping() || step.allowed_absences > 0)
                 continue;
-            step_key const key{task.occurrence, task.step};
+            auto const key = key_of(task);
             auto const known = gangs.find(key);
             if (!step.is_gang || known == gangs.end()) {
                 gangs[key] = groups.size();
@@ -311,9 +307,7 @@
 {
     if (!run.seen_running_at || run.is_stopping())
         return false;
-    auto const& step =
-        job.submission.spec
-            .steps[static_cast<std::size_t>(run.order.run.task.step)];
+    auto const& step = step_of(job, run.order.run.task);
     // A filler that its agent holds back is not at fault.
     if (step.is_long_running || run.share < 100)
         return false;
--- a/packages/scheduler/job_tasks.cpp
+++ b/packages/scheduler/job_tasks.cpp
@@ -14,14 +14,16 @@
     return occurrence;
 }
 
+bool is_step_done(std::span<jobs::task_progress const> tasks)
+{
+    return std::all_of(tasks.begin(), tasks.end(),
+                       [](auto const& task) { return task.is_done; });
+}
+
 bool is_occurrence_done(jobs::occurrence_progress const& occurrence)
 {
     return std::all_of(occurrence.steps.begin(), occurrence.steps.end(),
-                       [](auto const& tasks) {
-                           return std::all_of(
-                               tasks.begin(), tasks.end(),
-                               [](auto const& task) { return task.is_done; });
-                       });
+                       [](auto const& tasks) { return is_step_done(tasks); });
 }
 
 jobs::task_progress* find_task(open_job& job, jobs::task_id const& id)
--- a/packages/scheduler/job_tasks.hpp
+++ b/packages/scheduler/job_tasks.hpp
@@ -2,11 +2,16 @@
 
 #include "scheduler/open_job.hpp"
 
+#include <span>
+
 namespace sequoiaroute::scheduler {
 
 /// @return an occurrence in which no task has run
 jobs::occurrence_progress make_occurrence(jobs::job_spec const& spec);
 
+/// @return whether all tasks of a step are done
+bool is_step_done(std::span<jobs::task_progress const> tasks);
+
 /// @return whether all tasks of all steps are done
 bool is_occurrence_done(jobs::occurrence_progress const& occurrence);
 
--- a/packages/scheduler/order_loader.cpp
+++ b/packages/scheduler/order_loader.cpp
@@ -1,8 +1,8 @@
 #include "scheduler/order_loader.hpp"
 
-#include "core/event_log.hpp"
 #include "jobs/row_codec.hpp"
 #include "rows/row_layout.hpp"
+#include "rows/unreadable_row.hpp"
 
 #include <optional>
 #include <utility>
@@ -63,9 +63,7 @@
         if (core::is_ok(order)) {
             orders_.push_back(core::value(std::move(order)));
         } else {
-            core::log_event("row_unreadable",
-                            {{"key", row.key.key},
-                             {"fault", core::failure(order).message}});
+            rows::log_unreadable(row, core::failure(order));
         }
     }
     if (page.has_more)
--- a/packages/scheduler/run_end_recorder.cpp
+++ b/packages/scheduler/run_end_recorder.cpp
@@ -4,6 +4,18 @@
 
 namespace sequoiaroute::scheduler {
 
+namespace {
+
+/// @return what is recorded of all tasks of a task's step
+std::vector<jobs::task_progress>& tasks_of_step(open_job& job,
+                                                jobs::task_id const& id)
+{
+    return job.progress.occurrences.at(id.occurrence)
+        .steps[static_cast<std::size_t>(id.step)];
+}
+
+} // namespace
+
 void run_end_recorder::record(open_job& job, assignments::iterator run,
                               jobs::run_end end, std::string const& checkpoint,
                               core::time_point now)
@@ -46,9 +58,7 @@
         return;
     }
     // The end of one member stands for all members of the gang.
-    auto& tasks = job.progress.occurrences[task.occurrence]
-                      .steps[static_cast<std::size_t>(task.step)];
-    for (auto& member : tasks)
+    for (auto& member : tasks_of_step(job, task))
         member.is_done = true;
 }
 
@@ -66,13 +76,11 @@
         ++find_task(job, id)->failures;
     } else {
         // Several members of one run may fail; that is one failed attempt.
-        auto& tasks = job.progress.occurrences[id.occurrence]
-                          .steps[static_cast<std::size_t>(id.step)];
         auto& counted =
             job.progress.occurrences[id.occurrence].failed_gang_runs[id.step];
         if (!counted.insert(order.run.run).second)
             return;
-        for (auto& member : tasks)
+        for (auto& member : tasks_of_step(job, id))
             ++member.failures;
     }
     if (find_task(job, id)->failures < job.submission.terms.max_attempts)
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -76,13 +76,20 @@
     auto const& task = order.run.task;
     if (static_cast<std::size_t>(task.step) >= job.submission.spec.steps.size())
         return;
+    assign(job, std::move(order), now);
+}
+
+void scheduler_core::assign(open_job& job, jobs::run_order order,
+                            core::time_point now)
+{
+    auto const task = order.run.task;
     assignment run;
     run.task = step_of(job, task).room();
     run.percent_changed_at = now;
     run.ordered_at = now;
     run.order = std::move(order);
-    runs_by_agent_.add(run.order.agent, run.order.run.task);
-    job.assignments.insert_or_assign(run.order.run.task, std::move(run));
+    runs_by_agent_.add(run.order.agent, task);
+    job.assignments.insert_or_assign(task, std::move(run));
 }
 
 void scheduler_core::cancel(std::string const& job_id)
@@ -454,31 +461,26 @@
     auto& job = jobs_.at(task.job_id);
     auto& known = *find_task(job, task);
     known.last_run = run;
-    assignment started;
-    started.task = step_of(job, task).room();
-    started.percent_changed_at = now;
-    started.ordered_at = now;
     auto const& executor = workers_.at(agent).report.worker.executor;
     auto const& step = step_of(job, task);
-    started.order = {agent,
-                     executor,
-                     {task, run},
-                     job.submission.spec.payload,
-                     checkpoint_holder(job, task)->checkpoint,
-                     false,
-                     job.submission.terms.is_urgent(),
-                     "",
-                     step.response_target,
-                     step.is_filler};
+    jobs::run_order order{agent,
+                          executor,
+                          {task, run},
+                          job.submission.spec.payload,
+                          checkpoint_holder(job, task)->checkpoint,
+                          false,
+                          job.submission.terms.is_urgent(),
+                          "",
+                          step.response_target,
+                          step.is_filler};
     if (job.submission.terms.needs_tickets()) {
-        started.order.ticket = job.advice.at(key_of(task))
-                                   .ticket(executor.id, oldest_ticket(job, now))
-                                   .value_or("");
+        order.ticket = job.advice.at(key_of(task))
+                           .ticket(executor.id, oldest_ticket(job, now))
+                           .value_or("");
     }
     job.progress.has_started = true;
-    changes_.add_order(job, order_change::kind::start, started.order, {});
-    runs_by_agent_.add(agent, task);
-    job.assignments.insert_or_assign(task, std::move(started));
+    changes_.add_order(job, order_change::kind::start, order, {});
+    assign(job, std::move(order), now);
 }
 
 void scheduler_core::retire(core::time_point now)
--- a/packages/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/scheduler_core.hpp
@@ -116,6 +116,7 @@
                      core::time_point now);
     void start_group(waiting_tasks const& tasks,
                      std::span<std::string const> agents, core::time_point now);
+    void assign(open_job& job, jobs::run_order order, core::time_point now);
     void start(jobs::task_id const& task, std::string const& agent,
                std::int64_t run, core::time_point now);
     void retire(core::time_point now);
