core, adapter, all decoders: One odd entry costs only itself

Cause: documents from outside were parsed without a bound on their nesting, and fields were converted by the library, which throws out of callbacks on another type, converts booleans to numbers and silently changes numbers that do not fit. A number such as 1e400 raised an exception that nothing caught. A lease row of another type ended every process that read it; a page whose rows were all unreadable was read again without end; an address such as 10.0.0.1:70000 was looked up as the name of a host, which blocks.

Change: core/codec is the one place that parses, with bounds on depth and size. core/json.hpp replaces the library's conversion of numbers by one that checks kind and range, so every decoder of both schedulers gets it. Counts, durations, factors, percentages, addresses and enumerations have checked readers. Heartbeats are refused if a capacity, address, label or nesting is odd. A row that turns odd keeps its last valid value where a run depends on it (orders, reports); an odd lease is vacant and keeps its term. A handler that throws costs its request, which is answered 502. Jobs are bounded in steps, tasks, occurrences, payload and row size: a count of a billion tasks was accepted and its progress allocated by each decider in turn. A late deregistration of an earlier life of an executor is ignored.

--- a/packages/agents/agent_service.cpp
+++ b/packages/agents/agent_service.cpp
@@ -81,17 +81,20 @@
 
 void agent_service::receive_order(rows::row const& changed)
 {
-    auto const& text = changed.is_removed ? orders_.rows().at(changed.key).value
-                                          : changed.value;
-    auto order = jobs::decode_order(text);
+    if (changed.is_removed) {
+        if (auto const run = runs_by_row_.extract(changed.key); !run.empty())
+            tracker_.remove_order(run.mapped());
+        return;
+    }
+    auto order = jobs::decode_order(changed.value);
     if (!core::is_ok(order)) {
+        // An earlier, valid value of the row holds, since its run may be
+        // running.
         rows::log_unreadable_row(changed, core::failure(order));
         return;
     }
-    if (changed.is_removed)
-        tracker_.remove_order(core::value(order).run);
-    else
-        tracker_.put_order(core::value(std::move(order)), !is_serving_);
+    runs_by_row_.insert_or_assign(changed.key, core::value(order).run);
+    tracker_.put_order(core::value(std::move(order)), !is_serving_);
 }
 
 void agent_service::on_orders_updated()
@@ -155,10 +158,19 @@
     }
 }
 
-void agent_service::mark_executor_gone(std::string const& executor_id)
+void agent_service::receive_deregistration(std::string const& executor_id,
+                                           std::optional<std::int64_t> born_ms)
 {
-    if (executor_id != worker_.executor.id)
+    // An executor may restart under the same id. A deregistration that arrives
+    // late is then that of its predecessor.
+    if (executor_id != worker_.executor.id ||
+        (born_ms && *born_ms != worker_.executor.born_ms))
         return;
+    mark_executor_gone();
+}
+
+void agent_service::mark_executor_gone()
+{
     auto gone_worker = worker_;
     gone_worker.state = jobs::worker_state::gone;
     update_executor(std::move(gone_worker));
@@ -411,7 +423,7 @@
          now - lease_extended_at_ > options_.timing.max_time_to_stop() &&
          !is_connection_refused && !may_extend_lease());
     if (has_ended)
-        mark_executor_gone(worker_.executor.id);
+        mark_executor_gone();
 }
 
 void agent_service::throttle_fillers()
--- a/packages/agents/agent_service.hpp
+++ b/packages/agents/agent_service.hpp
@@ -11,6 +11,7 @@
 #include "rows/row_store.hpp"
 #include "rows/table_replica.hpp"
 
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -55,9 +56,12 @@
     /// delivers them, and sends further reports to that decider.
     void receive_notice(notices::row_notice notice);
 
-    /// Marks the executor as gone, and reports it. Ignored unless the id is
-    /// that of the current executor.
-    void mark_executor_gone(std::string const& executor_id);
+    /// Reports that an executor has announced its end. Ignored unless it is the
+    /// current one.
+    /// @param executor_id the id of the executor
+    /// @param born_ms its start time; nullopt if it gave none
+    void receive_deregistration(std::string const& executor_id,
+                                std::optional<std::int64_t> born_ms);
 
 private:
     void load_report();
@@ -71,6 +75,7 @@
     void receive_snapshot(executor_snapshot const& snapshot,
                           core::time_point requested_at);
     void receive_poll_failure(bool is_connection_refused);
+    void mark_executor_gone();
     void stop_runs_without_order();
     void throttle_fillers();
     void update_executor(jobs::worker_description worker);
@@ -93,6 +98,7 @@
     notices::notice_sender& notices_;
     options options_;
     rows::table_replica orders_;
+    std::map<rows::row_key, jobs::run_id> runs_by_row_;
     run_tracker tracker_;
     filler_throttle throttle_;
     jobs::worker_description worker_;
--- a/packages/callers/api_client.cpp
+++ b/packages/callers/api_client.cpp
@@ -26,12 +26,9 @@
     if (!core::is_ok(document) || !core::value(document).is_object())
         return failure;
     auto const& fields = core::value(document);
-    auto const code = fields.find("code");
-    auto const message = fields.find("message");
-    if (code != fields.end() && code->is_number_unsigned())
-        failure.code = static_cast<result_code>(code->get<std::uint16_t>());
-    if (message != fields.end() && message->is_string())
-        failure.message = message->get<std::string>();
+    failure.code = static_cast<result_code>(core::valid_field_or(
+        fields, "code", static_cast<std::uint16_t>(failure.code)));
+    failure.message = core::valid_field_or(fields, "message", failure.message);
     return failure;
 }
 
--- a/packages/core/event_log.cpp
+++ b/packages/core/event_log.cpp
@@ -1,11 +1,12 @@
 #include "core/event_log.hpp"
 
+#include "core/json.hpp"
+
 #include <algorithm>
 #include <chrono>
 #include <mutex>
 
 #include <fmt/format.h>
-#include <nlohmann/json.hpp>
 #include <poll.h>
 #include <unistd.h>
 
--- a/packages/core/settings.cpp
+++ b/packages/core/settings.cpp
@@ -1,5 +1,7 @@
 #include "core/settings.hpp"
 
+#include "core/address.hpp"
+
 #include <algorithm>
 #include <charconv>
 #include <cmath>
@@ -92,19 +94,7 @@
 
 bool is_address(std::string_view text)
 {
-    constexpr std::int64_t max_port = 65'535;
-    auto const parts = split(text, ':');
-    if (parts.size() != 2)
-        return false;
-    auto const port = parse_integer(parts[1]);
-    if (!port || *port < 1 || *port > max_port)
-        return false;
-    auto const octets = split(parts[0], '.');
-    return octets.size() == 4 &&
-           std::all_of(octets.begin(), octets.end(), [](auto octet) {
-               auto const number = parse_integer(octet);
-               return number && *number <= 255;
-           });
+    return parse_address(text).has_value();
 }
 
 std::vector<std::string> split_addresses(std::string_view text)
--- a/packages/event/evhttp_client.cpp
+++ b/packages/event/evhttp_client.cpp
@@ -1,11 +1,11 @@
 #include "event/evhttp_client.hpp"
 
+#include "core/address.hpp"
+
 #include <event2/buffer.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
 
-#include <charconv>
-
 namespace sequoiaroute::event {
 
 namespace {
@@ -28,18 +28,6 @@
     return EVHTTP_REQ_GET;
 }
 
-/// @return host and port; the port is 0 if it is missing or invalid
-std::pair<std::string, std::uint16_t> split_address(std::string const& address)
-{
-    auto const colon = address.rfind(':');
-    std::uint16_t port = 0;
-    if (colon != std::string::npos) {
-        std::from_chars(address.data() + colon + 1,
-                        address.data() + address.size(), port);
-    }
-    return {address.substr(0, colon), port};
-}
-
 std::string read_body(evhttp_request* request)
 {
     auto* const buffer = evhttp_request_get_input_buffer(request);
@@ -98,6 +86,8 @@
     auto pending_exchange = std::unique_ptr<exchange>(new exchange{
         *this, std::move(call), std::move(done), nullptr, nullptr, false});
     auto* const raw_exchange = pending_exchange.get();
+    if (!core::parse_address(pending_exchange->call.address))
+        return reject(std::move(pending_exchange));
     pending_exchange->timeout =
         loop_.after(pending_exchange->call.timeout,
                     [this, raw_exchange] { expire(raw_exchange); });
@@ -109,10 +99,28 @@
     start(std::move(pending_exchange));
 }
 
+/// Ends a call to something that is not an address, which another process may
+/// have published. libevent would look it up as the name of a host, and block.
+void evhttp_client::reject(std::unique_ptr<exchange> invalid_exchange)
+{
+    auto* const self = invalid_exchange.get();
+    started_exchanges_.emplace(self, std::move(invalid_exchange));
+    self->timeout = loop_.after(core::duration(0), [this, self] {
+        auto const found = started_exchanges_.find(self);
+        auto const rejected = std::move(found->second);
+        started_exchanges_.erase(found);
+        http_call_result result;
+        result.is_connection_refused = true;
+        rejected->done(std::move(result));
+    });
+}
+
 void evhttp_client::start(std::unique_ptr<exchange> pending_exchange)
 {
     auto& pool = pools_[pending_exchange->call.address];
-    auto const [host, port] = split_address(pending_exchange->call.address);
+    auto const [host, port] =
+        core::parse_address(pending_exchange->call.address)
+            .value_or(core::socket_address{});
     if (pool.idle.empty()) {
         pending_exchange->used_connection =
             std::make_unique<connection>(evhttp_connection_base_new(
--- a/packages/event/evhttp_client.hpp
+++ b/packages/event/evhttp_client.hpp
@@ -33,6 +33,7 @@
     };
 
     /// Sends the request on an idle connection, or on a new one.
+    void reject(std::unique_ptr<exchange> invalid_exchange);
     void start(std::unique_ptr<exchange> pending_exchange);
     /// Ends an exchange, waiting or started, whose timeout has passed.
     void expire(exchange* exchange);
--- a/packages/event/http_server.cpp
+++ b/packages/event/http_server.cpp
@@ -1,5 +1,8 @@
 #include "event/http_server.hpp"
 
+#include "core/address.hpp"
+#include "core/event_log.hpp"
+
 #include <event2/buffer.h>
 #include <event2/http.h>
 #include <event2/keyvalq_struct.h>
@@ -8,6 +11,7 @@
 #include <arpa/inet.h>
 #include <charconv>
 #include <cstring>
+#include <exception>
 
 #include <fmt/format.h>
 
@@ -17,20 +21,15 @@
 
 constexpr int listen_backlog = 512;
 
-std::optional<sockaddr_in> parse_address(std::string const& address)
+std::optional<sockaddr_in> to_sockaddr(std::string const& address)
 {
-    auto const colon = address.rfind(':');
-    if (colon == std::string::npos)
+    auto const parsed = core::parse_address(address);
+    if (!parsed)
         return std::nullopt;
     sockaddr_in result{};
     result.sin_family = AF_INET;
-    std::uint16_t port = 0;
-    std::from_chars(address.data() + colon + 1, address.data() + address.size(),
-                    port);
-    result.sin_port = htons(port);
-    if (inet_pton(AF_INET, address.substr(0, colon).c_str(),
-                  &result.sin_addr) != 1)
-        return std::nullopt;
+    result.sin_port = htons(parsed->port);
+    inet_pton(AF_INET, parsed->host.c_str(), &result.sin_addr);
     return result;
 }
 
@@ -124,7 +123,7 @@
             core::result_code::internal_error,
             fmt::format("cannot listen on {}: {}", address, reason)};
     };
-    auto const parsed = parse_address(address);
+    auto const parsed = to_sockaddr(address);
     if (!parsed)
         return listen_error("not an address of the form IP:PORT");
     sockaddr generic_address{};
@@ -177,15 +176,24 @@
     auto parsed = read_request(request, server.limits_);
     ++*server.open_requests_;
     auto const is_answered = std::make_shared<bool>(false);
-    server.handler_(
-        std::move(parsed),
+    http_responder const respond =
         [request, is_answered, open_requests = server.open_requests_,
          is_closing = server.is_closing_](http_response const& response) {
             if (std::exchange(*is_answered, true))
                 return;
             --*open_requests;
             send_response(request, response, *is_closing);
-        });
+        };
+    try {
+        server.handler_(std::move(parsed), respond);
+    } catch (std::exception const& exception) {
+        // An unexpected error costs this request only. It may have taken
+        // effect, which is what this status says.
+        constexpr int bad_gateway = 502;
+        core::log_event("request_failed",
+                        {{"fault", std::string(exception.what())}});
+        respond({bad_gateway, {}, "{}", "application/json"});
+    }
 }
 
 } // namespace sequoiaroute::event
--- a/packages/gateway/call_codec.cpp
+++ b/packages/gateway/call_codec.cpp
@@ -7,6 +7,21 @@
 
 using core::json;
 
+namespace {
+
+/// @param last the last value of the enumeration, whose values count from 0
+/// @throws core::invalid_document if the number is no value of it
+template <class Enum>
+Enum to_enum(json const& document, Enum last)
+{
+    auto const number = document.get<int>();
+    if (number < 0 || number > static_cast<int>(last))
+        throw core::invalid_document("a number is no value of its type");
+    return static_cast<Enum>(number);
+}
+
+} // namespace
+
 std::string encode(customer_call const& call)
 {
     json document{{"kind", static_cast<int>(call.kind)},
@@ -27,11 +42,11 @@
 {
     return core::decode_json<customer_call>(text, [](json const& document) {
         customer_call call;
-        call.kind = static_cast<call_kind>(document.at("kind").get<int>());
+        call.kind = to_enum(document.at("kind"), call_kind::cancel);
         call.host = document.at("host");
         call.path = document.at("path");
         call.key = document.at("key");
-        call.time_limit = core::duration(document.at("time_limit_ms"));
+        call.time_limit = core::to_duration(document.at("time_limit_ms"));
         call.body_bytes = document.at("body_bytes");
         if (auto const job = document.find("job"); job != document.end()) {
             auto submission = jobs::decode_submission(job->get<std::string>());
@@ -56,11 +71,10 @@
     return core::decode_json<customer_reply>(text, [](json const& document) {
         customer_reply reply;
         reply.outcome =
-            static_cast<call_outcome>(document.at("outcome").get<int>());
-        reply.state =
-            static_cast<jobs::job_state>(document.at("state").get<int>());
+            to_enum(document.at("outcome"), call_outcome::too_large);
+        reply.state = to_enum(document.at("state"), jobs::job_state::cancelled);
         reply.pending = document.at("pending");
-        reply.retry_after = core::duration(document.at("retry_after_ms"));
+        reply.retry_after = core::to_duration(document.at("retry_after_ms"));
         return reply;
     });
 }
--- a/packages/gateway/customer_service.cpp
+++ b/packages/gateway/customer_service.cpp
@@ -60,26 +60,6 @@
     return limit - response_time_reserve;
 }
 
-bool is_valid(jobs::job_spec const& spec)
-{
-    if (spec.steps.empty())
-        return false;
-    for (std::size_t index = 0; index < spec.steps.size(); ++index) {
-        auto const& step = spec.steps[index];
-        if (step.task_count < 1 || step.task.millicores < 0 ||
-            step.task.memory_mb < 0 || step.task.accelerators < 0)
-            return false;
-        // A step may only depend on earlier ones, else it would never start.
-        if (std::any_of(step.after.begin(), step.after.end(),
-                        [&](std::int32_t predecessor) {
-                            return predecessor < 0 || static_cast<std::size_t>(
-                                                          predecessor) >= index;
-                        }))
-            return false;
-    }
-    return true;
-}
-
 } // namespace
 
 /// A write that must be stored before its customer gets a reply.
@@ -180,9 +160,13 @@
         log_job_event("job_rejected", job_id, "the job exceeds the size limit");
         return respond(make_reply(call_outcome::too_large));
     }
-    if (!call.spec || !is_valid(*call.spec)) {
-        log_job_event("job_rejected", job_id,
-                      "the job cannot be read or is invalid");
+    if (!call.spec) {
+        log_job_event("job_rejected", job_id, "the job cannot be read");
+        return respond(make_reply(call_outcome::bad_request));
+    }
+    if (auto const checked = jobs::check_job(*call.spec);
+        !core::is_ok(checked)) {
+        log_job_event("job_rejected", job_id, core::failure(checked).message);
         return respond(make_reply(call_outcome::bad_request));
     }
     if (directory_.find(job_id)) {
@@ -197,10 +181,15 @@
     if (auto const customer = rules->customer_by_key.find(call.key);
         customer != rules->customer_by_key.end())
         submission.customer = customer->second;
+    auto encoded = jobs::encode(submission);
+    if (encoded.size() > rows::max_value_bytes) {
+        log_job_event("job_rejected", job_id, "the job exceeds a row's size");
+        return respond(make_reply(call_outcome::too_large));
+    }
     auto write = std::make_shared<pending_write>();
     auto const key = rows::layout::job_row(job_id);
     write->changes.conditions.push_back({key, rows::no_row});
-    write->changes.writes.push_back({key, jobs::encode(submission)});
+    write->changes.writes.push_back({key, std::move(encoded)});
     write->success_outcome = call_outcome::accepted;
     write->is_urgent = queue.parameters.is_urgent();
     write->job_id = std::move(job_id);
--- a/packages/jobs/job_spec.hpp
+++ b/packages/jobs/job_spec.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "core/clock.hpp"
+#include "core/result.hpp"
 #include "jobs/resources.hpp"
 
 #include <cstdint>
@@ -54,6 +55,13 @@
     }
 };
 
+/// The largest job that is accepted. The progress of all tasks of its open
+/// occurrences, and the payload in each order, are stored in one row each.
+constexpr std::size_t max_steps = 256;
+constexpr std::int64_t max_tasks = 1000; ///< of all steps
+constexpr std::int64_t max_occurrences = 5000;
+constexpr std::size_t max_payload_bytes = 16'384;
+
 /// A job as the customer submits it.
 struct job_spec
 {
@@ -74,6 +82,14 @@
     std::int64_t occurrences() const { return is_repeated() ? repeats : 1; }
 };
 
+/// Checks a job that a customer submits.
+/// @return bad_request with the reason if the job could never complete or is
+///         larger than the limits
+core::status check_job(job_spec const& job);
+
+/// @return the number of tasks in all steps of one occurrence
+std::int64_t task_count(job_spec const& job);
+
 /// @param job the job
 /// @param step_times the time that each step takes, by index
 /// @return the length of the critical path: the time that the longest chain of
--- a/packages/jobs/progress.hpp
+++ b/packages/jobs/progress.hpp
@@ -37,8 +37,14 @@
     std::int32_t failures = 0; ///< number of failed runs
     std::int64_t last_run = 0; ///< number of the last ordered run; 0 for none
     std::string checkpoint;    ///< the newest one; empty if there is none
+    /// The numbers of the latest runs that were taken as lost because nothing
+    /// was heard of them. How such a run ended may become known later.
+    std::vector<std::int64_t> unconfirmed_runs = {};
 };
 
+/// The most runs of a task whose end may still become known.
+constexpr std::size_t max_unconfirmed_runs = 8;
+
 /// The recorded progress of one occurrence of a job.
 struct occurrence_progress
 {
--- a/packages/jobs/row_codec.cpp
+++ b/packages/jobs/row_codec.cpp
@@ -22,7 +22,8 @@
 
 resources resources_from(json const& document)
 {
-    return {document.at(0), document.at(1), document.at(2)};
+    return {core::to_count(document.at(0)), core::to_count(document.at(1)),
+            core::to_count(document.at(2))};
 }
 
 json to_json(step_spec const& step)
@@ -62,7 +63,7 @@
     step_spec step;
     step.task_count = document.at("count");
     step.task = resources_from(document.at("task"));
-    step.estimate = core::duration(document.at("estimate_ms"));
+    step.estimate = core::to_duration(document.at("estimate_ms"));
     step.after = document.value("after", std::vector<std::int32_t>());
     step.is_gang = document.value("gang", false);
     step.is_rack_local = document.value("rack_local", false);
@@ -70,8 +71,7 @@
     step.is_speculative = document.value("speculative", false);
     step.is_long_running = document.value("long_running", false);
     step.allowed_absences = document.value("allowed_absences", 0);
-    step.response_target =
-        core::duration(document.value("response_target_ms", std::int64_t{0}));
+    step.response_target = core::duration_field(document, "response_target_ms");
     step.is_filler = document.value("filler", false);
     step.required_label = document.value("label", "");
     step.data_rack = document.value("data_rack", "");
@@ -87,20 +87,30 @@
 
 run_id run_from(json const& document)
 {
-    return {{document.at(0), document.at(1), document.at(2), document.at(3)},
-            document.at(4)};
+    return {{document.at(0), core::to_count(document.at(1)), document.at(2),
+             document.at(3)},
+            core::to_count(document.at(4))};
 }
 
 json to_json(task_progress const& task)
 {
-    return {task.is_done ? 1 : 0, task.failures, task.last_run,
-            task.checkpoint};
+    json document{task.is_done ? 1 : 0, task.failures, task.last_run,
+                  task.checkpoint};
+    if (!task.unconfirmed_runs.empty())
+        document.push_back(task.unconfirmed_runs);
+    return document;
 }
 
 task_progress task_from(json const& document)
 {
-    return {document.at(0).get<int>() != 0, document.at(1), document.at(2),
-            document.at(3)};
+    task_progress task{document.at(0).get<int>() != 0,
+                       document.at(1),
+                       core::to_count(document.at(2)),
+                       document.at(3),
+                       {}};
+    if (document.size() > 4)
+        document.at(4).get_to(task.unconfirmed_runs);
+    return task;
 }
 
 json to_json(occurrence_progress const& occurrence)
@@ -118,9 +128,9 @@
 occurrence_progress occurrence_from(json const& document)
 {
     occurrence_progress occurrence;
-    for (auto const& step : document) {
+    for (auto const& step : core::elements_of(document)) {
         auto& tasks = occurrence.steps.emplace_back();
-        for (auto const& task : step)
+        for (auto const& task : core::elements_of(step))
             tasks.push_back(task_from(task));
     }
     return occurrence;
@@ -166,7 +176,7 @@
     worker.data_centre = document.at("data_centre");
     worker.rack = document.at("rack");
     worker.state = parse_worker_state(document.at("state"));
-    worker.remaining = core::duration(document.at("remaining_ms"));
+    worker.remaining = core::to_duration(document.at("remaining_ms"));
     worker.capacity = resources_from(document.at("capacity"));
     worker.labels = document.at("labels").get<std::vector<std::string>>();
     return worker;
@@ -210,19 +220,19 @@
         value.parameters.service = document.at("service");
         value.parameters.priority = document.at("priority");
         value.parameters.max_attempts = document.at("max_attempts");
-        value.parameters.objective_factor = document.at("objective_factor");
+        value.parameters.objective_factor =
+            core::to_factor(document.at("objective_factor"));
         value.parameters.objective_slack =
-            core::duration(document.at("objective_ms"));
-        value.parameters.ticket_validity = core::duration(
-            document.value("ticket_validity_ms", std::int64_t{0}));
+            core::to_duration(document.at("objective_ms"));
+        value.parameters.ticket_validity =
+            core::duration_field(document, "ticket_validity_ms");
         value.spec.payload = document.at("payload");
-        for (auto const& step : document.at("steps"))
+        for (auto const& step : core::elements_of(document.at("steps")))
             value.spec.steps.push_back(step_from(step));
         value.spec.repeats = document.value("repeats", std::int64_t{0});
         value.spec.first_due_ms =
             document.value("first_due_ms", std::int64_t{0});
-        value.spec.interval =
-            core::duration(document.value("interval_ms", std::int64_t{0}));
+        value.spec.interval = core::duration_field(document, "interval_ms");
         return value;
     });
 }
@@ -246,7 +256,7 @@
         value.has_started = document.at("started");
         value.finished_occurrences =
             document.at("finished").get<std::set<std::int64_t>>();
-        for (auto const& item : document.at("occurrences")) {
+        for (auto const& item : core::elements_of(document.at("occurrences"))) {
             value.occurrences.emplace(item.at(0).get<std::int64_t>(),
                                       occurrence_from(item.at(1)));
         }
@@ -276,14 +286,14 @@
     return core::decode_json<worker_report>(text, [](json const& document) {
         worker_report value;
         value.agent = document.at("agent");
-        value.written_at = core::duration(document.at("written_at_ms"));
+        value.written_at = core::to_duration(document.at("written_at_ms"));
         value.worker = worker_from(document.at("worker"));
-        for (auto const& task : document.at("running")) {
-            value.running.push_back({run_from(task.at(0)), task.at(1),
-                                     task.at(2), task.at(3),
-                                     core::duration(0)});
+        for (auto const& task : core::elements_of(document.at("running"))) {
+            value.running.push_back(
+                {run_from(task.at(0)), task.at(1), core::to_percent(task.at(2)),
+                 core::to_percent(task.at(3)), core::duration(0)});
         }
-        for (auto const& task : document.at("ended")) {
+        for (auto const& task : core::elements_of(document.at("ended"))) {
             value.ended.push_back({run_from(task.at(0)),
                                    parse_run_end(task.at(1).get<std::string>()),
                                    task.at(2)});
@@ -325,8 +335,8 @@
         value.is_stop_requested = document.value("stop", false);
         value.is_urgent = document.value("urgent", false);
         value.ticket = document.value("ticket", "");
-        value.response_target = core::duration(
-            document.value("response_target_ms", std::int64_t{0}));
+        value.response_target =
+            core::duration_field(document, "response_target_ms");
         value.is_filler = document.value("filler", false);
         return value;
     });
--- a/packages/notices/row_notice.cpp
+++ b/packages/notices/row_notice.cpp
@@ -22,7 +22,7 @@
     return core::decode_json<row_notice>(text, [](json const& document) {
         row_notice notice;
         notice.decider_address = document.at("decider");
-        for (auto const& item : document.at("rows")) {
+        for (auto const& item : core::elements_of(document.at("rows"))) {
             rows::row row;
             row.key = {item.at(0), item.at(1), item.at(2)};
             row.value = item.at(3);
--- a/packages/platform/http_table.cpp
+++ b/packages/platform/http_table.cpp
@@ -6,14 +6,16 @@
 
 core::result<row> to_row(core::json const& document)
 {
-    try {
-        return row{document.at("key").get<std::string>(),
-                   document.at("version").get<std::uint64_t>(),
-                   document.at("value")};
-    } catch (core::json::exception const& exception) {
+    auto decoded =
+        core::convert_document<row>(document, [](core::json const& source) {
+            return row{source.at("key").get<std::string>(),
+                       source.at("version").get<std::uint64_t>(),
+                       source.at("value")};
+        });
+    if (!core::is_ok(decoded))
         return core::error{core::result_code::store_unavailable,
-                           exception.what()};
-    }
+                           core::failure(decoded).message};
+    return decoded;
 }
 
 core::json transaction_to_json(std::span<row_condition const> conditions,
--- a/packages/platform/recovering_writer.cpp
+++ b/packages/platform/recovering_writer.cpp
@@ -18,9 +18,8 @@
 /// @return the write tokens of a row, oldest first
 std::vector<std::string> writer_tokens(core::json const& envelope)
 {
-    if (!envelope.is_object() || !envelope.contains("writers"))
-        return {};
-    return envelope["writers"].get<std::vector<std::string>>();
+    return core::valid_field_or(envelope, "writers",
+                                std::vector<std::string>());
 }
 
 core::result<row> unwrap_envelope(row stored)
--- a/packages/programs/customer_commands.cpp
+++ b/packages/programs/customer_commands.cpp
@@ -147,8 +147,8 @@
         return bad_request("status takes at most one job");
     if (line.operands.empty()) {
         SEQUOIA_TRY_INTO(auto const jobs, entries.query("GET", "/v1/jobs"));
-        auto const& list = jobs.is_object() ? jobs.at("jobs") : jobs;
-        for (auto const& job : list)
+        auto const found = jobs.find("jobs");
+        for (auto const& job : found == jobs.end() ? jobs : *found)
             print_job(job);
         return core::success();
     }
--- a/packages/programs/explain_command.cpp
+++ b/packages/programs/explain_command.cpp
@@ -24,9 +24,9 @@
 /// @return whether an event names the job or one of its runs
 bool belongs_to_job(json const& line, std::string_view job_id)
 {
-    if (line.value("job", std::string()) == job_id)
+    if (core::valid_field_or(line, "job", std::string()) == job_id)
         return true;
-    return line.value("run", std::string())
+    return core::valid_field_or(line, "run", std::string())
         .starts_with(fmt::format("{}.", job_id));
 }
 
@@ -61,12 +61,12 @@
 job_event to_job_event(json const& line)
 {
     return {
-        line.value("time_ms", std::int64_t{0}),
-        line.value("node", "?"),
-        line.value("event", "?"),
-        line.value("run", std::string()),
+        core::valid_field_or(line, "time_ms", std::int64_t{0}),
+        core::valid_field_or(line, "node", std::string("?")),
+        core::valid_field_or(line, "event", std::string("?")),
+        core::valid_field_or(line, "run", std::string()),
         first_non_empty(line, {"end", "reason", "outcome", "state", "detail"}),
-        line.value("agent", std::string())};
+        core::valid_field_or(line, "agent", std::string())};
 }
 
 /// @return the events of a job in order of time
@@ -79,8 +79,11 @@
         if (object_begin == std::string::npos ||
             text.find(job_id) == std::string::npos)
             continue;
-        auto const line =
-            json::parse(text.substr(object_begin), nullptr, false);
+        auto const parsed =
+            core::parse_json(std::string_view(text).substr(object_begin));
+        if (!core::is_ok(parsed))
+            continue;
+        auto const& line = core::value(parsed);
         if (!line.is_object() || !belongs_to_job(line, job_id))
             continue;
         records.push_back({to_job_event(line), format_fields(line)});
--- a/packages/programs/failover_client.cpp
+++ b/packages/programs/failover_client.cpp
@@ -19,8 +19,9 @@
     if (core::is_ok(body) && core::value(body).is_object() &&
         core::value(body).contains("code")) {
         auto const& json = core::value(body);
-        return {static_cast<core::result_code>(json.value("code", 0)),
-                json.value("message", std::string())};
+        return {static_cast<core::result_code>(
+                    core::valid_field_or(json, "code", std::uint16_t{0})),
+                core::valid_field_or(json, "message", std::string())};
     }
     return {
         core::result_code::internal_error,
--- a/packages/programs/job_progress.cpp
+++ b/packages/programs/job_progress.cpp
@@ -31,9 +31,10 @@
 
 std::string format_job(core::json const& job)
 {
-    return fmt::format("{}  {}  {}", job.value("job_id", std::string()),
-                       job.value("state", std::string()),
-                       job.value("status", std::string()));
+    return fmt::format("{}  {}  {}",
+                       core::valid_field_or(job, "job_id", std::string()),
+                       core::valid_field_or(job, "state", std::string()),
+                       core::valid_field_or(job, "status", std::string()));
 }
 
 } // namespace
@@ -45,20 +46,22 @@
         return;
     }
     fmt::print("{}\n", format_job(job));
-    if (auto const result = job.value("result", std::string()); !result.empty())
+    if (auto const result = core::valid_field_or(job, "result", std::string());
+        !result.empty())
         fmt::print("{}\n", result);
 }
 
 core::status outcome_of(core::json const& job)
 {
-    auto const state = job.value("state", std::string());
+    auto const state = core::valid_field_or(job, "state", std::string());
     if (!is_final_state(state) || state == "finished")
         return core::success();
-    auto const code = static_cast<core::result_code>(job.value("code", 0));
+    auto const code = static_cast<core::result_code>(
+        core::valid_field_or(job, "code", std::uint16_t{0}));
     return core::error{code == core::result_code::ok
                            ? core::result_code::execution_failed
                            : code,
-                       job.value("status", std::string())};
+                       core::valid_field_or(job, "status", std::string())};
 }
 
 core::result<core::json> watch_job(failover_client& entries,
--- a/packages/programs/operator_commands.cpp
+++ b/packages/programs/operator_commands.cpp
@@ -55,9 +55,9 @@
         return core::success();
     }
     fmt::print(stderr, "generation {}, applied by {}\n",
-               rules.value("generation", 0),
-               rules.value("author", std::string("unknown")));
-    fmt::print("{}", rules.value("text", std::string()));
+               core::valid_field_or(rules, "generation", 0),
+               core::valid_field_or(rules, "author", std::string("unknown")));
+    fmt::print("{}", core::valid_field_or(rules, "text", std::string()));
     return core::success();
 }
 
--- a/packages/programs/store_agent.cpp
+++ b/packages/programs/store_agent.cpp
@@ -58,7 +58,9 @@
                  agent.receive_heartbeat(std::move(message.worker),
                                          message.sequence);
              },
-             [&](std::string const& id) { agent.mark_executor_gone(id); }}));
+             [&](std::string const& id, std::optional<std::int64_t> born_ms) {
+                 agent.receive_deregistration(id, born_ms);
+             }}));
     notices::notice_handlers const handlers{[&](notices::row_notice notice) {
                                                 agent.receive_notice(
                                                     std::move(notice));
--- a/packages/rows/row_store.hpp
+++ b/packages/rows/row_store.hpp
@@ -17,6 +17,9 @@
 /// The version of a row that does not exist.
 constexpr row_version no_row = 0;
 
+/// The largest value of a row.
+constexpr std::size_t max_value_bytes = 65'536;
+
 /// Identifies a row.
 struct row_key
 {
--- a/packages/rows/table_replica.cpp
+++ b/packages/rows/table_replica.cpp
@@ -137,7 +137,8 @@
 
 void table_replica::receive_page(std::string const& part, page result)
 {
-    if (!result.is_ok) {
+    // A page without rows does not tell where the next one begins.
+    if (!result.is_ok || (result.has_more && result.rows.empty())) {
         // Ignore the responses for other parts of this attempt.
         ++attempt_;
         return retry([this] { load(); });
--- a/packages/scheduler/commit_queue.cpp
+++ b/packages/scheduler/commit_queue.cpp
@@ -37,15 +37,16 @@
         .dump();
 }
 
-lease_record decode_lease(std::string_view text)
+core::result<lease_record> decode_lease(std::string_view text)
 {
-    auto const document = core::json::parse(text, nullptr, false);
-    if (!document.is_object())
-        return {};
-    return {document.value("holder", std::string()),
-            document.value("address", std::string()),
-            document.value("term", std::int64_t{0}),
-            document.value("renewals", std::int64_t{0})};
+    return core::decode_json<lease_record>(text, [](core::json const& source) {
+        return lease_record{
+            source.value("holder", std::string()),
+            source.value("address", std::string()),
+            source.value("term", std::int64_t{0}),
+            source.value("renewals", std::int64_t{0}),
+        };
+    });
 }
 
 std::optional<rows::row_version>
--- a/packages/scheduler/commit_queue.hpp
+++ b/packages/scheduler/commit_queue.hpp
@@ -32,8 +32,8 @@
 /// @return the record as JSON, as stored in the lease row
 std::string encode(lease_record const& record);
 
-/// @return the record; one without a holder if the text is not a JSON object
-lease_record decode_lease(std::string_view text);
+/// @return the record, or bad_request if the text is not that of a lease row
+core::result<lease_record> decode_lease(std::string_view text);
 
 /// Checks after a conflict whether an earlier attempt of the same transaction
 /// was committed although its answer was lost.
--- a/packages/scheduler/decider_service.cpp
+++ b/packages/scheduler/decider_service.cpp
@@ -80,8 +80,7 @@
 
 void decider_service::observe_lease(rows::row const& changed)
 {
-    observed_lease_ =
-        changed.is_removed ? lease_record{} : decode_lease(changed.value);
+    observed_lease_ = changed.is_removed ? lease_record{} : read_lease(changed);
     observed_lease_version_ =
         changed.is_removed ? rows::no_row : changed.version;
     lease_changed_at_ = timers_.now();
@@ -91,6 +90,19 @@
         try_acquire_lease();
 }
 
+/// A lease that cannot be decoded is vacant, and its holder loses it with its
+/// next write. Its term is kept, since terms never decrease.
+lease_record decider_service::read_lease(rows::row const& changed) const
+{
+    auto decoded = decode_lease(changed.value);
+    if (core::is_ok(decoded))
+        return core::value(std::move(decoded));
+    rows::log_unreadable_row(changed, core::failure(decoded));
+    lease_record vacant;
+    vacant.term = observed_lease_.term;
+    return vacant;
+}
+
 void decider_service::on_tick()
 {
     if (commit_queue_ != nullptr) {
@@ -328,9 +340,16 @@
         return;
     auto report = jobs::decode_report(changed.value);
     if (!core::is_ok(report)) {
+        // The last valid report holds until the agent replaces this row.
         rows::log_unreadable_row(changed, core::failure(report));
         return;
     }
+    if (rows::layout::report_row(core::value(report).agent) != changed.key) {
+        rows::log_unreadable_row(changed,
+                                 {core::result_code::bad_request,
+                                  "the report is that of another agent"});
+        return;
+    }
     auto last_report_at = timers_.now();
     if (is_initial_load) {
         // The worker may have become silent long before this takeover.
--- a/packages/scheduler/decider_service.hpp
+++ b/packages/scheduler/decider_service.hpp
@@ -95,6 +95,7 @@
     void store_changes(std::vector<job_change> changes);
     /// Records a change of the lease row. Claims the lease if it is vacant.
     void observe_lease(rows::row const& changed);
+    lease_record read_lease(rows::row const& changed) const;
     /// Runs a round or, if this process is not the decider, checks whether the
     /// lease is vacant or has expired.
     void on_tick();
--- a/packages/scheduler/group_builder.cpp
+++ b/packages/scheduler/group_builder.cpp
@@ -1,5 +1,6 @@
 #include "scheduler/group_builder.hpp"
 
+#include "core/codec.hpp"
 #include "scheduler/job_tasks.hpp"
 
 #include <algorithm>
@@ -62,8 +63,10 @@
                               run_time_estimator const& run_times)
 {
     auto const critical_path = run_times.expected_critical_path(job.submission);
-    auto const objective = job.submission.parameters.objective_factor *
-                           static_cast<double>(critical_path.count());
+    auto const objective =
+        std::min(job.submission.parameters.objective_factor *
+                     static_cast<double>(critical_path.count()),
+                 static_cast<double>(core::max_document_duration.count()));
     return job.added_at + job.submission.parameters.objective_slack +
            core::duration(static_cast<std::int64_t>(objective)) - critical_path;
 }
--- a/packages/scheduler/order_loader.cpp
+++ b/packages/scheduler/order_loader.cpp
@@ -54,7 +54,9 @@
 void order_loader::receive_page(std::size_t table, std::string const& from,
                                 rows::page const& page)
 {
-    if (!page.is_ok || page.version < min_version_) {
+    // A page without rows does not tell where the next one begins.
+    if (!page.is_ok || page.version < min_version_ ||
+        (page.has_more && page.rows.empty())) {
         retry_timers_[table] = timers_.after(
             retry_delay, [this, table, from] { load_page(table, from); });
         return;
--- a/packages/targets/entry_registration.cpp
+++ b/packages/targets/entry_registration.cpp
@@ -111,13 +111,16 @@
     SEQUOIA_TRY_INTO(auto const row, table_.read(decider_key));
     if (row.version == 0)
         return decider_row{};
-    try {
-        auto const& value = row.value.at("value");
-        return decider_row{value.at("holder").get<std::string>(),
-                           value.at("term").get<std::uint64_t>()};
-    } catch (core::json::exception const& exception) {
-        return core::error{core::result_code::internal_error, exception.what()};
-    }
+    auto decoded = core::convert_document<decider_row>(
+        row.value, [](core::json const& document) {
+            auto const& value = document.at("value");
+            return decider_row{value.at("holder").get<std::string>(),
+                               value.at("term").get<std::uint64_t>()};
+        });
+    if (!core::is_ok(decoded))
+        return core::error{core::result_code::internal_error,
+                           core::failure(decoded).message};
+    return decoded;
 }
 
 void entry_registration::remove()
--- a/packages/workers/table_start_permits.cpp
+++ b/packages/workers/table_start_permits.cpp
@@ -17,12 +17,15 @@
 
 bool is_claimed_for(core::json const& value, request_attempt const& attempt)
 {
-    if (!value.is_object() || value.value("state", "") != "claimed")
+    if (!value.is_object() ||
+        core::valid_field_or(value, "state", std::string()) != "claimed")
         return false;
     // The attempt number alone fences older attempts. The row of a new claim
     // may have no attempt id yet.
-    auto const attempt_id = value.value("attempt_id", "");
-    return value.value("attempt", std::uint64_t{0}) == attempt.claim_attempt &&
+    auto const attempt_id =
+        core::valid_field_or(value, "attempt_id", std::string());
+    return core::valid_field_or(value, "attempt", std::uint64_t{0}) ==
+               attempt.claim_attempt &&
            (attempt_id.empty() || attempt_id == attempt.attempt_id);
 }
 
@@ -32,8 +35,10 @@
                                      request_attempt const& attempt) const
 {
     return value.is_object() &&
-           value.value("attempt_id", "") == attempt.attempt_id &&
-           value.value("agent_incarnation", "") == incarnation_;
+           core::valid_field_or(value, "attempt_id", std::string()) ==
+               attempt.attempt_id &&
+           core::valid_field_or(value, "agent_incarnation", std::string()) ==
+               incarnation_;
 }
 
 core::status table_start_permits::write(platform::row const& row,
@@ -86,9 +91,10 @@
     if (!belongs_to(new_value, attempt))
         return core::error{result_code::conflict,
                            "the row belongs to another attempt"};
-    if (new_value.value("state", "") == changes.value("state", ""))
+    if (core::valid_field_or(new_value, "state", std::string()) ==
+        core::valid_field_or(changes, "state", std::string()))
         return core::success();
-    if (new_value.value("state", "") != "started")
+    if (core::valid_field_or(new_value, "state", std::string()) != "started")
         return core::error{result_code::conflict,
                            "the row is not in state started"};
     new_value.update(changes);
--- a/tests/adapter/adapter_test.cpp
+++ b/tests/adapter/adapter_test.cpp
@@ -6,6 +6,7 @@
 #include "store_rules_source.hpp"
 
 #include "core/codec.hpp"
+#include "scripted_client.hpp"
 
 #include <gtest/gtest.h>
 
@@ -15,21 +16,6 @@
 using namespace std::chrono_literals;
 using core::json;
 
-/// Replies to each call at once with the reply that the test has set, and
-/// records the calls.
-class scripted_client final : public event::http_client
-{
-public:
-    void call(event::http_call call, callback done) override
-    {
-        calls.push_back(std::move(call));
-        done(reply);
-    }
-
-    event::http_call_result reply;
-    std::vector<event::http_call> calls;
-};
-
 event::http_call_result make_reply(int status, std::string body)
 {
     return {status, false, std::move(body)};
@@ -192,11 +178,12 @@
 TEST(heartbeat, decodes_worker_description)
 {
     auto const message = decode_heartbeat("i-1", valid_heartbeat);
-    ASSERT_TRUE(message);
-    EXPECT_EQ(message->worker.executor, (jobs::incarnation{"i-1", 99}));
-    EXPECT_EQ(message->worker.rack, "r1-3");
-    EXPECT_EQ(message->worker.capacity, (jobs::resources{16000, 32768, 8}));
-    EXPECT_EQ(message->sequence, 4);
+    ASSERT_TRUE(core::is_ok(message));
+    auto const& worker = core::value(message).worker;
+    EXPECT_EQ(worker.executor, (jobs::incarnation{"i-1", 99}));
+    EXPECT_EQ(worker.rack, "r1-3");
+    EXPECT_EQ(worker.capacity, (jobs::resources{16000, 32768, 8}));
+    EXPECT_EQ(core::value(message).sequence, 4);
 }
 
 // Guards against placing work on an executor whose heartbeat is incomplete or
@@ -209,7 +196,7 @@
             body.erase(field);
         else
             body[field] = value;
-        return decode_heartbeat("i-1", body.dump()).has_value();
+        return core::is_ok(decode_heartbeat("i-1", body.dump()));
     };
     EXPECT_FALSE(is_accepted_with("State", "odd"));
     EXPECT_FALSE(is_accepted_with("State", 3));
@@ -218,8 +205,8 @@
     EXPECT_FALSE(is_accepted_with("Capacity", 7));
     EXPECT_FALSE(is_accepted_with("Labels", "a"));
     EXPECT_FALSE(is_accepted_with("born", "x"));
-    EXPECT_FALSE(decode_heartbeat("i-1", "\xff{"));
-    EXPECT_FALSE(decode_heartbeat("i-1", "[]"));
+    EXPECT_FALSE(core::is_ok(decode_heartbeat("i-1", "\xff{")));
+    EXPECT_FALSE(core::is_ok(decode_heartbeat("i-1", "[]")));
 }
 
 TEST(decode_rules, decodes_queues_and_customers)
--- a/tests/agents/agent_service_test.cpp
+++ b/tests/agents/agent_service_test.cpp
@@ -121,10 +121,10 @@
         timers.advance(200ms);
     }
 
-    void heartbeat(jobs::worker_state state)
+    void heartbeat(jobs::worker_state state, std::int64_t born_ms = 1)
     {
         jobs::worker_description worker;
-        worker.executor = {"i-1", 1};
+        worker.executor = {"i-1", born_ms};
         worker.service = "s";
         worker.state = state;
         agent->receive_heartbeat(worker, ++sequence);
@@ -341,5 +341,38 @@
     EXPECT_EQ(report().ended[0].end, jobs::run_end::lost);
 }
 
+// Guards against a run that is forgotten because its order's row was
+// overwritten, and against one that is never forgotten after its removal.
+TEST_F(agent_service_test, keeps_an_order_whose_row_turns_odd)
+{
+    begin();
+    auto const order = make_order(0);
+    auto const key = rows::layout::order_row("a", to_text(order.run));
+    put_order(order);
+    timers.advance(200ms);
+    store.put(key, "[[{");
+    put_order(make_order(1));
+    timers.advance(200ms);
+    EXPECT_EQ(executor.running.size(), 2U);
+    store.commit({{}, {}, {key}}, 100ms, [](auto const&) {});
+    timers.advance(1500ms);
+    EXPECT_EQ(executor.running.size(), 1U);
+}
+
+// Guards against giving up the runs of an executor that has restarted under its
+// old id when the deregistration of its predecessor arrives late.
+TEST_F(agent_service_test, ignores_a_late_deregistration)
+{
+    begin();
+    executor.born_ms = 2;
+    heartbeat(jobs::worker_state::ready, 2);
+    agent->receive_deregistration("i-1", 1);
+    timers.advance(500ms);
+    EXPECT_EQ(report().worker.state, jobs::worker_state::ready);
+    agent->receive_deregistration("i-1", 2);
+    timers.advance(500ms);
+    EXPECT_EQ(report().worker.state, jobs::worker_state::gone);
+}
+
 } // namespace
 } // namespace sequoiaroute::agents
--- a/tests/event/http_test.cpp
+++ b/tests/event/http_test.cpp
@@ -57,6 +57,27 @@
     EXPECT_EQ(call({address, "DELETE", "/a", {}, "", 2s}).status, 201);
 }
 
+// Guards against a process that ends because of an unexpected error, and
+// against a customer who is told that nothing was done.
+TEST_F(event_http_test, answers_a_request_whose_handler_throws)
+{
+    serve([](http_request const&, http_responder const&) {
+        throw std::runtime_error("unexpected");
+    });
+    EXPECT_EQ(call({address, "POST", "/", {}, "", 2s}).status, 502);
+    EXPECT_EQ(call({address, "POST", "/", {}, "", 2s}).status, 502);
+}
+
+// Guards against a process that blocks while it looks up the name of a host
+// that another process has published in place of an address.
+TEST_F(event_http_test, sends_nothing_to_an_invalid_address)
+{
+    for (auto const* invalid : {"10.0.0.1:70000", "host.example:80", ""})
+        EXPECT_TRUE(
+            call({invalid, "GET", "/", {}, "", 2s}).is_connection_refused)
+            << invalid;
+}
+
 // Guards against a late response that is taken for that of the next call.
 TEST_F(event_http_test, closes_the_connection_of_a_call_that_timed_out)
 {
--- a/tests/jobs/row_codec_test.cpp
+++ b/tests/jobs/row_codec_test.cpp
@@ -58,7 +58,7 @@
     progress.state = job_state::running;
     progress.has_started = true;
     progress.finished_occurrences = {0, 2};
-    progress.occurrences[1].steps = {{{true, 1, 3, "cp"}, {}}};
+    progress.occurrences[1].steps = {{{true, 1, 3, "cp", {2}}, {}}};
     auto const text = encode(progress);
     auto const decoded = decode_progress(text);
     ASSERT_TRUE(core::is_ok(decoded));
--- a/tests/scheduler/decider_service_test.cpp
+++ b/tests/scheduler/decider_service_test.cpp
@@ -115,6 +115,31 @@
     EXPECT_TRUE(order("j"));
 }
 
+// Guards against entries that end again and again because another program has
+// overwritten the row of the lease or of a report.
+TEST_F(decider_service_test, survives_odd_rows)
+{
+    entry first(store, timers, "one");
+    add_worker("a");
+    timers.advance(1s);
+    ASSERT_TRUE(first.decider.is_decider());
+    for (auto const* odd :
+         {"[[[", "7", R"({"holder":7,"address":[],"term":"x"})",
+          R"({"holder":"x","term":1e300})", ""}) {
+        store.put(rows::layout::lease_row(), odd);
+        store.put(rows::layout::report_row("odd"), odd);
+        store.put(rows::layout::job_row("odd"), odd);
+        store.put(rows::layout::report_row("b"),
+                  jobs::encode(support::make_worker_report("c")));
+        timers.advance(2s);
+    }
+    EXPECT_TRUE(first.decider.is_decider());
+    add_worker("a");
+    add_job("j");
+    timers.advance(500ms);
+    EXPECT_TRUE(order("j"));
+}
+
 // Guards against a decider that goes on after another has taken over, and
 // against a released lease that no entry acquires.
 TEST_F(decider_service_test, takes_over_from_a_decider_that_stops)
