agents: Count the lease from every call that extends it

Cause: a start grants a lease to all that runs on the executor, as a poll does, but only polls were counted, and a start was sent even while the agent might not extend the lease. Besides, an executor that had only been silent was never used again, a report that was being stored while the executor restarted acknowledged ends of the next incarnation, and a reply of the previous incarnation set the clock from which leases are computed.

Ruled out: a lease that a call carried out late extends. Its end is absolute, by the executor's clock, so a late call cannot move it.

Change: executor_lease holds the clock, the last extension and the contact with the store, and is the only source of lease ends; no start is sent that it does not allow. An executor that was silent until its lease ran out counts as gone until its next heartbeat. end_position ties an end's number to its incarnation. Ends without an order are reported, too.

--- a/packages/agents/agent_service.cpp
+++ b/packages/agents/agent_service.cpp
@@ -48,7 +48,7 @@
            core::duration(0), rows::layout::order_prefix(options_.agent)},
           [this](rows::row const& changed) { receive_order(changed); },
           [this] { on_orders_updated(); }),
-      publish_delays_(retry_delay, max_publish_delay)
+      lease_(options_.timing), publish_delays_(retry_delay, max_publish_delay)
 {
 }
 
@@ -148,7 +148,8 @@
     if (worker.executor.born_ms < worker_.executor.born_ms ||
         (is_same && sequence <= sequence_ && sequence_ > 0))
         return;
-    if (is_same && worker_.state == jobs::worker_state::gone)
+    if (is_same && worker_.state == jobs::worker_state::gone &&
+        !is_presumed_gone_)
         return;
     sequence_ = sequence;
     update_executor(std::move(worker));
@@ -166,11 +167,14 @@
     if (executor_id != worker_.executor.id ||
         (born_ms && *born_ms != worker_.executor.born_ms))
         return;
-    mark_executor_gone();
+    mark_executor_gone("deregistered");
 }
 
-void agent_service::mark_executor_gone()
+void agent_service::mark_executor_gone(std::string_view cause)
 {
+    core::log_event("executor_gone", {{"executor", worker_.executor.id},
+                                      {"born_ms", worker_.executor.born_ms},
+                                      {"cause", std::string(cause)}});
     auto gone_worker = worker_;
     gone_worker.state = jobs::worker_state::gone;
     update_executor(std::move(gone_worker));
@@ -185,9 +189,8 @@
     bool const is_new = worker.executor != worker_.executor;
     bool const has_new_state = worker.state != worker_.state;
     if (is_new) {
-        acknowledged_end_number_ = 0;
-        highest_end_number_ = 0;
-        executor_clock_read_at_ = {};
+        ends_.set_executor(worker.executor);
+        lease_.reset();
         incarnation_confirmed_at_ = {};
         refused_since_.reset();
     }
@@ -201,6 +204,7 @@
                          {"remaining_ms", worker.remaining.count()}});
     }
     is_worker_inferred_ = false;
+    is_presumed_gone_ = false;
     worker_ = std::move(worker);
     tracker_.set_executor(worker_);
 }
@@ -217,17 +221,25 @@
 void agent_service::advance_runs()
 {
     auto const now = timers_.now();
-    bool const is_incarnation_confirmed =
-        now - incarnation_confirmed_at_ < incarnation_confirmed_for;
-    for (auto const& action :
-         tracker_.next_actions(now, is_incarnation_confirmed))
-        send_order(action);
+    for (auto const& action : tracker_.next_actions(now, start_permission(now)))
+        send_order(action, now);
     notify_decider();
     if (tracker_.end_count() != published_end_count_)
         publish_report_if_due();
     refresh_snapshot();
 }
 
+/// A start grants a lease like a poll does, so it needs the same permission.
+run_tracker::start_permission
+agent_service::start_permission(core::time_point now) const
+{
+    if (now - incarnation_confirmed_at_ >= incarnation_confirmed_for)
+        return run_tracker::start_permission::incarnation_unconfirmed;
+    if (!lease_.is_clock_known() || !lease_.may_extend(now))
+        return run_tracker::start_permission::no_lease;
+    return run_tracker::start_permission::granted;
+}
+
 /// Sends a report directly to the decider if the executor's state has changed
 /// or a run has ended that urgent work waits for, since the report in the store
 /// arrives later.
@@ -251,10 +263,10 @@
                          });
 }
 
-void agent_service::send_order(run_tracker::action const& action)
+void agent_service::send_order(run_tracker::action const& action,
+                               core::time_point sent_at)
 {
     std::weak_ptr<bool> const alive = alive_;
-    auto const sent_at = timers_.now();
     auto const on_reply = [this, alive, action,
                            sent_at](order_reply const& reply) {
         if (alive.expired())
@@ -263,8 +275,8 @@
                          reply.outcome == order_outcome::done ? "done"
                                                               : "other",
                          timers_.now() - sent_at);
-        if (reply.clock_ms)
-            record_executor_clock(*reply.clock_ms);
+        if (reply.clock_ms && action.order.executor == worker_.executor)
+            lease_.record_clock(*reply.clock_ms, timers_.now());
         core::log_event(action.type == run_tracker::action::kind::start
                             ? "start_answered"
                             : "stop_answered",
@@ -275,16 +287,11 @@
         advance_timer_ =
             timers_.after(core::duration(0), [this] { advance_runs(); });
     };
-    if (action.type == run_tracker::action::kind::start)
-        runtime_.start(action.order, lease_end_ms(), on_reply);
-    else
-        runtime_.stop(action.order, on_reply);
-}
-
-void agent_service::record_executor_clock(std::int64_t clock_ms)
-{
-    executor_clock_ms_ = clock_ms;
-    executor_clock_read_at_ = timers_.now();
+    if (action.type == run_tracker::action::kind::stop)
+        return runtime_.stop(action.order, on_reply);
+    // start_permission() has shown that the lease may be extended.
+    if (auto const lease_end_ms = lease_.extend(sent_at))
+        runtime_.start(action.order, *lease_end_ms, on_reply);
 }
 
 void agent_service::record_store_time(core::duration store_time)
@@ -295,19 +302,6 @@
     store_time_read_at_ = timers_.now();
 }
 
-std::int64_t agent_service::lease_end_ms() const
-{
-    auto const passed = timers_.now() - executor_clock_read_at_;
-    return executor_clock_ms_ + passed.count() +
-           options_.timing.lease().count();
-}
-
-bool agent_service::may_extend_lease() const
-{
-    return store_contact_at_ && timers_.now() - *store_contact_at_ <
-                                    options_.timing.store_outage_tolerance();
-}
-
 void agent_service::poll_executor()
 {
     if (is_polling_ || !is_serving_ || worker_.executor.id.empty() ||
@@ -316,16 +310,14 @@
         return;
     is_polling_ = true;
     auto const requested_at = timers_.now();
-    bool const has_executor_clock =
-        executor_clock_read_at_ != core::time_point{};
     std::weak_ptr<bool> const alive = alive_;
     // The lease cannot be extended before the executor's clock is known, so the
     // first poll must not wait.
     auto const wait =
         throttle_.is_active() ? throttling_poll_wait : long_poll_wait;
     runtime_.poll(
-        acknowledged_end_number_, extend_lease(),
-        has_executor_clock ? wait : core::duration(0),
+        ends_.acknowledged_number(), lease_.extend(requested_at),
+        lease_.is_clock_known() ? wait : core::duration(0),
         [this, alive, requested_at](executor_snapshot const& snapshot) {
             if (alive.expired())
                 return;
@@ -337,14 +329,6 @@
         });
 }
 
-std::optional<std::int64_t> agent_service::extend_lease()
-{
-    if (executor_clock_read_at_ == core::time_point{} || !may_extend_lease())
-        return std::nullopt;
-    lease_extended_at_ = timers_.now();
-    return lease_end_ms();
-}
-
 /// Requests a snapshot without waiting, while a long poll is in progress.
 void agent_service::refresh_snapshot()
 {
@@ -356,7 +340,8 @@
     next_refresh_at_ = requested_at + min_refresh_interval;
     std::weak_ptr<bool> const alive = alive_;
     runtime_.poll(
-        acknowledged_end_number_, extend_lease(), core::duration(0),
+        ends_.acknowledged_number(), lease_.extend(requested_at),
+        core::duration(0),
         [this, alive, requested_at](executor_snapshot const& snapshot) {
             if (alive.expired())
                 return;
@@ -370,7 +355,6 @@
                                      core::time_point requested_at)
 {
     refused_since_.reset();
-    record_executor_clock(snapshot.clock_ms);
     if (snapshot.born_ms != worker_.executor.born_ms) {
         // A new incarnation whose first heartbeat has not arrived yet.
         incarnation_confirmed_at_ = {};
@@ -378,11 +362,11 @@
         return;
     }
     incarnation_confirmed_at_ = requested_at;
+    lease_.record_clock(snapshot.clock_ms, timers_.now());
     tracker_.receive_snapshot(snapshot, requested_at);
     for (auto const& end : snapshot.ended) {
-        if (end.number <= highest_end_number_)
+        if (!ends_.record_listed(end.number))
             continue;
-        highest_end_number_ = end.number;
         core::log_event("run_end_listed",
                         {{"run", to_text(end.task.run)},
                          {"end", std::string(jobs::name(end.task.end))},
@@ -395,7 +379,7 @@
     // The executor answers at once as long as it lists ends. They are only
     // acknowledged once the report is stored, so polling without a delay would
     // return the same ends in a busy loop.
-    if (highest_end_number_ > acknowledged_end_number_)
+    if (ends_.has_unacknowledged())
         next_poll_at_ = timers_.now() + core::duration(30);
     poll_timer_ = timers_.after(
         std::max(next_poll_at_ - timers_.now(), core::duration(0)),
@@ -415,15 +399,13 @@
     auto const refused_limit = worker_.state == jobs::worker_state::draining
                                    ? draining_refused_before_gone
                                    : refused_before_gone;
-    // Besides refusals, an executor is gone if it does not answer and its
-    // lease, which may no longer be extended, has expired.
-    bool const has_ended =
-        (refused_since_ && now - *refused_since_ > refused_limit) ||
-        (lease_extended_at_ != core::time_point{} &&
-         now - lease_extended_at_ > options_.timing.max_time_to_stop() &&
-         !is_connection_refused && !may_extend_lease());
-    if (has_ended)
-        mark_executor_gone();
+    if (refused_since_ && now - *refused_since_ > refused_limit)
+        return mark_executor_gone("refuses connections");
+    if (is_connection_refused || !lease_.has_expired(now))
+        return;
+    lease_.end();
+    mark_executor_gone("silent until its lease expired");
+    is_presumed_gone_ = true;
 }
 
 void agent_service::throttle_fillers()
@@ -474,9 +456,7 @@
         is_worker_inferred_)
         return;
     bool const has_new_end = tracker_.end_count() != published_end_count_;
-    bool const has_unacknowledged_end =
-        highest_end_number_ > acknowledged_end_number_;
-    if (has_new_end || has_unacknowledged_end || is_report_outdated_ ||
+    if (has_new_end || ends_.has_unacknowledged() || is_report_outdated_ ||
         timers_.now() - published_at_ >=
             std::max(report_period, 3 * store_latency_.typical_latency()))
         publish_report();
@@ -493,18 +473,17 @@
     rows::transaction changes;
     changes.conditions.push_back({key, report_version_});
     changes.writes.push_back({key, current_report_});
-    auto const acknowledged = highest_end_number_;
     std::weak_ptr<bool> const alive = alive_;
-    store_.commit(
-        std::move(changes), store_latency_.timeout(),
-        [this, alive, acknowledged](rows::commit_result const& result) {
-            if (!alive.expired())
-                receive_publish_result(result, acknowledged);
-        });
+    store_.commit(std::move(changes), store_latency_.timeout(),
+                  [this, alive, reported = ends_.last_listed()](
+                      rows::commit_result const& result) {
+                      if (!alive.expired())
+                          receive_publish_result(result, reported);
+                  });
 }
 
 void agent_service::receive_publish_result(rows::commit_result const& result,
-                                           std::int64_t acknowledged)
+                                           end_position const& reported)
 {
     is_publishing_ = false;
     record_store_time(result.store_time);
@@ -537,10 +516,10 @@
         return;
     }
     publish_delays_.reset();
-    store_contact_at_ = started_at;
+    lease_.record_store_contact(started_at);
     published_at_ = timers_.now();
     published_end_count_ = publishing_end_count_;
-    acknowledged_end_number_ = std::max(acknowledged_end_number_, acknowledged);
+    ends_.acknowledge(reported);
     publish_report_if_due();
     poll_executor();
 }
--- a/packages/agents/agent_service.hpp
+++ b/packages/agents/agent_service.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "agents/end_acknowledgement.hpp"
+#include "agents/executor_lease.hpp"
 #include "agents/executor_runtime.hpp"
 #include "agents/run_tracker.hpp"
 #include "core/backoff.hpp"
@@ -68,14 +70,15 @@
     void receive_order(rows::row const& changed);
     void on_orders_updated();
     void advance_runs();
-    void send_order(run_tracker::action const& action);
+    void send_order(run_tracker::action const& action,
+                    core::time_point sent_at);
     void poll_executor();
     void refresh_snapshot();
-    std::optional<std::int64_t> extend_lease();
+    run_tracker::start_permission start_permission(core::time_point now) const;
     void receive_snapshot(executor_snapshot const& snapshot,
                           core::time_point requested_at);
     void receive_poll_failure(bool is_connection_refused);
-    void mark_executor_gone();
+    void mark_executor_gone(std::string_view cause);
     void stop_runs_without_order();
     void throttle_fillers();
     void update_executor(jobs::worker_description worker);
@@ -85,11 +88,8 @@
     void publish_report();
     void notify_decider();
     void receive_publish_result(rows::commit_result const& result,
-                                std::int64_t acknowledged);
+                                end_position const& reported);
     jobs::worker_report make_report() const;
-    std::int64_t lease_end_ms() const;
-    bool may_extend_lease() const;
-    void record_executor_clock(std::int64_t clock_ms);
     void record_store_time(core::duration store_time);
 
     rows::row_store& store_;
@@ -107,10 +107,10 @@
     /// The executor is known from orders only. Nothing is reported about it
     /// until it sends a heartbeat or is found to be gone.
     bool is_worker_inferred_ = false;
-
-    /// The executor's clock in milliseconds, when it was last read.
-    std::int64_t executor_clock_ms_ = 0;
-    core::time_point executor_clock_read_at_{};
+    /// The executor counts as gone because it was silent until its lease ran
+    /// out. Its next heartbeat shows that it still exists.
+    bool is_presumed_gone_ = false;
+    executor_lease lease_;
 
     /// When the last snapshot that came from the current incarnation was
     /// requested.
@@ -121,11 +121,7 @@
     /// Since when the executor refuses connections.
     std::optional<core::time_point> refused_since_;
     core::time_point next_poll_at_{};
-    core::time_point lease_extended_at_{};
-    /// Number of the last end that is contained in a stored report.
-    std::int64_t acknowledged_end_number_ = 0;
-    /// Number of the last end that the executor has listed.
-    std::int64_t highest_end_number_ = 0;
+    end_acknowledgement ends_;
 
     /// IP:PORT to which reports are sent; empty if the decider is unknown.
     std::string decider_address_;
@@ -146,8 +142,6 @@
     std::uint64_t publishing_end_count_ = 0;
     core::time_point published_at_{};
     core::time_point publish_started_at_{};
-    /// When the last report that was stored had been sent.
-    std::optional<core::time_point> store_contact_at_;
     /// The store's steady clock when it was last read.
     core::duration store_time_{0};
     core::time_point store_time_read_at_{};
--- /dev/null
+++ b/packages/agents/executor_lease.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include "core/clock.hpp"
+#include "jobs/lease_timing.hpp"
+
+#include <cstdint>
+#include <optional>
+
+namespace sequoiaroute::agents {
+
+/// The lease that an agent grants to all runs of its executor. It is measured
+/// on the executor's clock, and extended only while the store confirms that the
+/// agent is alive, so that the decider can tell when the runs of a silent agent
+/// have ended.
+class executor_lease
+{
+public:
+    /// @param timing the lengths of leases and the tolerated outages
+    explicit executor_lease(jobs::lease_timing timing) : timing_(timing) {}
+
+    /// Forgets the clock and the lease of the previous incarnation.
+    void reset();
+
+    /// @param clock_ms the executor's clock in milliseconds, from a reply
+    /// @param received_at when the reply arrived
+    void record_clock(std::int64_t clock_ms, core::time_point received_at);
+
+    /// @param sent_at when a report that has been stored was sent
+    void record_store_contact(core::time_point sent_at);
+
+    /// @return whether the executor's clock is known
+    bool is_clock_known() const { return clock_read_at_.has_value(); }
+
+    /// @return whether a call sent now may extend the lease
+    bool may_extend(core::time_point now) const;
+
+    /// Extends the lease with the next call, whether or not it is answered: an
+    /// unanswered call may still take effect.
+    /// @param now when the call is sent
+    /// @return the end of the lease by the executor's clock in milliseconds;
+    ///         nullopt if the lease must not be extended now
+    std::optional<std::int64_t> extend(core::time_point now);
+
+    /// Records that the lease has expired and all runs have ended.
+    void end() { extended_at_.reset(); }
+
+    /// @return whether the lease has been extended, must not be extended any
+    ///         more, and has certainly run out, together with all runs
+    bool has_expired(core::time_point now) const;
+
+private:
+    jobs::lease_timing timing_;
+    std::int64_t clock_ms_ = 0; ///< the executor's clock at clock_read_at_
+    std::optional<core::time_point> clock_read_at_;
+    std::optional<core::time_point> extended_at_;
+    std::optional<core::time_point> store_contact_at_;
+};
+
+} // namespace sequoiaroute::agents
--- a/packages/agents/run_tracker.cpp
+++ b/packages/agents/run_tracker.cpp
@@ -40,6 +40,8 @@
 
 void run_tracker::set_executor(jobs::worker_description const& worker)
 {
+    if (worker.executor != worker_.executor)
+        ends_without_order_.clear();
     worker_ = worker;
 }
 
@@ -64,10 +66,13 @@
 {
     std::set<jobs::run_id> listed;
     runs_without_order_.clear();
+    ends_without_order_.clear();
     for (auto const& item : snapshot.ended) {
         listed.insert(item.task.run);
         auto const found = runs_.find(item.task.run);
-        if (found != runs_.end() && !found->second.ended)
+        if (found == runs_.end())
+            ends_without_order_.push_back(item.task);
+        else if (!found->second.ended)
             end(found->second, item.task.end, item.task.checkpoint);
     }
     for (auto const& task : snapshot.running) {
@@ -102,8 +107,8 @@
     }
 }
 
-std::vector<run_tracker::action> run_tracker::next_actions(core::time_point now,
-                                                           bool may_start)
+std::vector<run_tracker::action>
+run_tracker::next_actions(core::time_point now, start_permission permission)
 {
     std::vector<action> actions;
     has_deferred_start_ = false;
@@ -134,8 +139,9 @@
         }
         if (tracked.start_confirmed_at || tracked.running || !is_ready)
             continue;
-        if (!may_start) {
-            has_deferred_start_ = true;
+        if (permission != start_permission::granted) {
+            has_deferred_start_ =
+                permission == start_permission::incarnation_unconfirmed;
             continue;
         }
         tracked.is_call_pending = true;
@@ -235,7 +241,7 @@
 
 std::vector<jobs::ended_run> run_tracker::ended() const
 {
-    std::vector<jobs::ended_run> result;
+    auto result = ends_without_order_;
     for (auto const& [run, tracked] : runs_) {
         if (tracked.ended)
             result.push_back(*tracked.ended);
--- a/packages/agents/run_tracker.hpp
+++ b/packages/agents/run_tracker.hpp
@@ -37,6 +37,17 @@
         jobs::run_order order;
     };
 
+    /// Whether runs may be started now, or why not.
+    enum class start_permission
+    {
+        granted,
+        /// The executor may have restarted under the same id; a start would
+        /// then reach the new incarnation. A snapshot tells.
+        incarnation_unconfirmed,
+        /// No lease may be granted to the run.
+        no_lease,
+    };
+
     /// Adds an order, or replaces the order of the same run.
     /// @param order the order
     /// @param may_have_started whether an earlier process may have sent the
@@ -68,12 +79,11 @@
                         core::time_point now);
 
     /// @param now the current time
-    /// @param may_start whether the current incarnation has been confirmed
-    ///        recently; an executor may restart under the same id, and a start
-    ///        would then reach the new incarnation
+    /// @param permission whether runs may be started now
     /// @return the calls to make now; the caller must pass the reply to each of
     ///         them to receive_answer()
-    std::vector<action> next_actions(core::time_point now, bool may_start);
+    std::vector<action> next_actions(core::time_point now,
+                                     start_permission permission);
 
     /// @return runs in the last snapshot that have no order
     std::vector<jobs::run_id> const& runs_without_order() const
@@ -87,7 +97,8 @@
     /// @return the running tasks, as input to filler_throttle::update()
     std::vector<filler_throttle::observed_run> observed_runs() const;
 
-    /// @return the ended runs whose orders have not been removed
+    /// @return the ended runs whose orders have not been removed, and those
+    ///         without an order that the last snapshot lists
     std::vector<jobs::ended_run> ended() const;
 
     /// @return the number of ends recorded so far; changes with each new end
@@ -134,6 +145,9 @@
     std::map<jobs::run_id, tracked_run> runs_;
     jobs::worker_description worker_;
     std::vector<jobs::run_id> runs_without_order_;
+    /// The ends in the last snapshot of runs that have no order. The decider
+    /// may have taken such a run as lost before its end became known.
+    std::vector<jobs::ended_run> ends_without_order_;
     /// A start is due, but the executor's incarnation is not confirmed.
     bool has_deferred_start_ = false;
     std::uint64_t end_count_ = 0;
--- a/packages/jobs/lease_timing.cpp
+++ b/packages/jobs/lease_timing.cpp
@@ -37,6 +37,12 @@
            max_stop_time;
 }
 
+core::duration lease_timing::least_executor_time(core::duration passed)
+{
+    return core::duration(static_cast<core::duration::rep>(
+        static_cast<double>(passed.count()) / max_clock_slowdown));
+}
+
 core::duration lease_timing::lost_after() const
 {
     return store_outage_tolerance() + max_time_to_stop() + max_report_delay;
--- a/packages/jobs/lease_timing.hpp
+++ b/packages/jobs/lease_timing.hpp
@@ -27,6 +27,10 @@
     ///         slow
     core::duration max_time_to_stop() const;
 
+    /// @param passed true time
+    /// @return the least time that passes meanwhile on an executor's clock
+    static core::duration least_executor_time(core::duration passed);
+
     /// @return the time after the last report of an agent by which its worker
     ///         has certainly stopped all runs
     core::duration lost_after() const;
--- a/tests/agents/agent_service_test.cpp
+++ b/tests/agents/agent_service_test.cpp
@@ -44,9 +44,14 @@
     }
 
     void poll(std::int64_t acknowledged,
-              std::optional<std::int64_t> lease_until_ms, core::duration,
+              std::optional<std::int64_t> lease_until_ms, core::duration wait,
               std::function<void(executor_snapshot)> done) override
     {
+        if (is_silent) {
+            pending_.push_back(timers_.after(
+                wait + 700ms, [done = std::move(done)] { done({}); }));
+            return;
+        }
         if (is_refusing) {
             executor_snapshot refusal;
             refusal.is_connection_refused = true;
@@ -79,12 +84,14 @@
 
     std::int64_t clock_ms() const
     {
-        return timers_.now().time_since_epoch().count();
+        return timers_.now().time_since_epoch().count() + clock_offset_ms;
     }
 
     std::map<jobs::run_id, jobs::run_order> running;
     std::vector<unacknowledged_end> ended;
     bool is_refusing = false; ///< connections are refused
+    bool is_silent = false;   ///< polls get no answer
+    std::int64_t clock_offset_ms = 0;
     std::int64_t born_ms = 1;
     std::map<jobs::run_id, std::int32_t> shares;
     core::duration response_time{0};
@@ -142,12 +149,39 @@
                   jobs::encode(order));
     }
 
+    /// Announces an order as the decider does, ahead of the store.
+    void announce_order(jobs::run_order const& order)
+    {
+        rows::row row{rows::layout::order_row("a", to_text(order.run)),
+                      jobs::encode(order), 100, false};
+        agent->receive_notice({decider, {row}});
+    }
+
+    /// Makes the store unreachable for the agent.
+    void cut_store()
+    {
+        store.next_commits = memory_row_store::fault::refused;
+        store.reads = memory_row_store::fault::refused;
+    }
+
+    /// @return whether the agent has told the decider that the executor ended
+    bool has_announced_end()
+    {
+        auto const& reports = notices.reports[decider];
+        return std::any_of(
+            reports.begin(), reports.end(), [](auto const& text) {
+                auto const decoded = core::value(jobs::decode_report(text));
+                return decoded.worker.state == jobs::worker_state::gone;
+            });
+    }
+
     jobs::worker_report report() const
     {
         auto const row = store.find(rows::layout::report_row("a"));
         return core::value(jobs::decode_report(row->value));
     }
 
+    std::string const decider = "10.0.0.1:7000";
     support::manual_timers timers;
     memory_row_store store;
     fake_executor executor;
@@ -359,6 +393,122 @@
     EXPECT_EQ(executor.running.size(), 1U);
 }
 
+// Guards against losing how a run ended, and what it saved, because the decider
+// took it as lost and removed its order before the executor answered again.
+TEST_F(agent_service_test, reports_an_end_whose_order_was_removed)
+{
+    begin();
+    auto const order = make_order(0);
+    auto const key = rows::layout::order_row("a", to_text(order.run));
+    put_order(order);
+    timers.advance(200ms);
+    executor.is_silent = true;
+    timers.advance(100ms);
+    executor.end(order.run, jobs::run_end::failed);
+    store.commit({{}, {}, {key}}, 100ms, [](auto const&) {});
+    timers.advance(1s);
+    executor.is_silent = false;
+    while (executor.highest_acknowledged == 0) {
+        if (auto const ended = report().ended; !ended.empty()) {
+            EXPECT_EQ(ended[0].end, jobs::run_end::failed);
+            break;
+        }
+        timers.advance(1ms);
+    }
+    EXPECT_EQ(report().ended.size(), 1U);
+}
+
+// Guards against a run that outlasts the time after which the decider takes the
+// runs of a silent agent as ended, and orders them elsewhere.
+TEST_F(agent_service_test, starts_nothing_while_it_may_not_extend_the_lease)
+{
+    begin();
+    cut_store();
+    timers.advance(4s);
+    auto const order = make_order(0);
+    announce_order(order);
+    timers.advance(1s);
+    EXPECT_TRUE(executor.running.empty());
+    store.next_commits = memory_row_store::fault::none;
+    store.reads = memory_row_store::fault::none;
+    timers.advance(2s);
+    EXPECT_TRUE(executor.running.contains(order.run));
+}
+
+// Guards against a task that runs twice: a start extends the lease of all runs,
+// so an executor whose polls are not answered may still be at work then.
+TEST_F(agent_service_test, counts_the_lease_from_the_last_start)
+{
+    begin();
+    cut_store();
+    timers.advance(1500ms);
+    executor.is_silent = true;
+    timers.advance(1300ms);
+    announce_order(make_order(0));
+    timers.advance(6500ms);
+    ASSERT_EQ(executor.running.size(), 1U);
+    EXPECT_FALSE(has_announced_end());
+    timers.advance(2s);
+    EXPECT_TRUE(has_announced_end());
+}
+
+// Guards against giving up a machine that was only silent for a while.
+TEST_F(agent_service_test, uses_an_executor_again_that_was_only_silent)
+{
+    begin();
+    executor.is_silent = true;
+    cut_store();
+    timers.advance(12s);
+    store.next_commits = memory_row_store::fault::none;
+    store.reads = memory_row_store::fault::none;
+    timers.advance(1s);
+    ASSERT_EQ(report().worker.state, jobs::worker_state::gone);
+    executor.is_silent = false;
+    heartbeat(jobs::worker_state::ready);
+    put_order(make_order(0));
+    timers.advance(2s);
+    EXPECT_EQ(report().worker.state, jobs::worker_state::ready);
+    EXPECT_EQ(executor.running.size(), 1U);
+}
+
+// Guards against a lost end, and a task that runs twice: the report of the
+// previous incarnation's ends is being stored while the executor restarts.
+TEST_F(agent_service_test, acknowledges_no_end_of_the_next_incarnation)
+{
+    begin();
+    for (std::int32_t index = 0; index < 3; ++index)
+        put_order(make_order(index));
+    timers.advance(200ms);
+    for (std::int32_t index = 0; index < 3; ++index)
+        executor.end(make_order(index).run, jobs::run_end::done);
+    auto const commits = store.commit_count;
+    while (store.commit_count == commits)
+        timers.advance(1ms);
+    executor.born_ms = 2;
+    executor.ended.clear();
+    executor.highest_acknowledged = 0;
+    heartbeat(jobs::worker_state::ready, 2);
+    timers.advance(1ms);
+    store.next_commits = memory_row_store::fault::refused;
+    timers.advance(500ms);
+    EXPECT_EQ(executor.highest_acknowledged, 0);
+}
+
+// Guards against a lease that is far too long, because its end is computed from
+// the clock of the previous incarnation.
+TEST_F(agent_service_test, ignores_the_clock_of_a_replaced_executor)
+{
+    begin();
+    executor.clock_offset_ms = 1'000'000;
+    announce_order(make_order(0));
+    executor.clock_offset_ms = 0;
+    executor.lease_end_ms = 0;
+    executor.born_ms = 2;
+    heartbeat(jobs::worker_state::ready, 2);
+    timers.advance(500ms);
+    EXPECT_LE(executor.lease_end_ms, executor.clock_ms() + 6000);
+}
+
 // Guards against giving up the runs of an executor that has restarted under its
 // old id when the deregistration of its predecessor arrives late.
 TEST_F(agent_service_test, ignores_a_late_deregistration)
--- a/tests/agents/run_tracker_test.cpp
+++ b/tests/agents/run_tracker_test.cpp
@@ -6,6 +6,7 @@
 namespace {
 
 using namespace std::chrono_literals;
+using permission = run_tracker::start_permission;
 
 class run_tracker_test : public testing::Test
 {
@@ -37,7 +38,7 @@
     /// @return the next action; the test fails unless there is exactly one
     run_tracker::action next_action()
     {
-        auto const actions = tracker.next_actions(now, true);
+        auto const actions = tracker.next_actions(now, permission::granted);
         EXPECT_EQ(actions.size(), 1U);
         return actions.empty() ? run_tracker::action{} : actions[0];
     }
@@ -57,7 +58,7 @@
 {
     tracker.put_order(order, false);
     answer(next_action(), order_outcome::done);
-    EXPECT_TRUE(tracker.next_actions(now, true).empty());
+    EXPECT_TRUE(tracker.next_actions(now, permission::granted).empty());
     tracker.receive_snapshot(snapshot_with_end(jobs::run_end::done), now + 1s);
     ASSERT_EQ(tracker.ended().size(), 1U);
     EXPECT_EQ(tracker.ended()[0].end, jobs::run_end::done);
@@ -71,7 +72,7 @@
 TEST_F(run_tracker_test, reads_a_snapshot_before_a_start_is_retried)
 {
     tracker.put_order(order, true);
-    EXPECT_TRUE(tracker.next_actions(now, true).empty());
+    EXPECT_TRUE(tracker.next_actions(now, permission::granted).empty());
     EXPECT_TRUE(tracker.needs_snapshot());
     tracker.receive_snapshot(snapshot_with_end(jobs::run_end::done), now);
     ASSERT_EQ(tracker.ended().size(), 1U);
@@ -126,7 +127,7 @@
 {
     order.is_stop_requested = true;
     tracker.put_order(order, false);
-    EXPECT_TRUE(tracker.next_actions(now, true).empty());
+    EXPECT_TRUE(tracker.next_actions(now, permission::granted).empty());
     EXPECT_EQ(tracker.ended().at(0).end, jobs::run_end::stopped);
 }
 
@@ -136,7 +137,7 @@
     worker.state = jobs::worker_state::draining;
     tracker.set_executor(worker);
     tracker.put_order(order, false);
-    EXPECT_TRUE(tracker.next_actions(now, true).empty());
+    EXPECT_TRUE(tracker.next_actions(now, permission::granted).empty());
     EXPECT_EQ(tracker.ended().at(0).end, jobs::run_end::refused);
 }
 
@@ -146,7 +147,7 @@
     answer(next_action(), order_outcome::done);
     worker.executor.born_ms = 2;
     tracker.set_executor(worker);
-    EXPECT_TRUE(tracker.next_actions(now, true).empty());
+    EXPECT_TRUE(tracker.next_actions(now, permission::granted).empty());
     EXPECT_EQ(tracker.ended().at(0).end, jobs::run_end::lost);
 }
 
@@ -169,11 +170,11 @@
     order.executor = {"i-1", 5};
     tracker.put_order(order, true);
     EXPECT_EQ(tracker.newest_ordered_incarnation(), order.executor);
-    EXPECT_TRUE(tracker.next_actions(now, true).empty());
+    EXPECT_TRUE(tracker.next_actions(now, permission::granted).empty());
     EXPECT_TRUE(tracker.ended().empty());
     worker.executor = {"i-1", 9};
     tracker.set_executor(worker);
-    tracker.next_actions(now, true);
+    tracker.next_actions(now, permission::granted);
     ASSERT_EQ(tracker.ended().size(), 1U);
     EXPECT_EQ(tracker.ended().at(0).end, jobs::run_end::lost);
 }
@@ -183,7 +184,8 @@
 {
     tracker.put_order(order, false);
     EXPECT_FALSE(tracker.needs_snapshot());
-    EXPECT_TRUE(tracker.next_actions(now, false).empty());
+    EXPECT_TRUE(
+        tracker.next_actions(now, permission::incarnation_unconfirmed).empty());
     EXPECT_TRUE(tracker.needs_snapshot());
     EXPECT_EQ(next_action().type, run_tracker::action::kind::start);
     EXPECT_FALSE(tracker.needs_snapshot());
