core: Let the monotonic clock pass while the machine is suspended

Cause: std::chrono::steady_clock stops while a machine is suspended. An agent that was suspended for seconds then took its last contact with the store as recent, and extended leases although the decider had already counted its runs as lost.

Change: system_clock reads CLOCK_BOOTTIME; the two waits that were given a time of that clock are given a duration.

--- a/packages/core/clock.hpp
+++ b/packages/core/clock.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <ctime>
 
 namespace sequoiaroute::core {
 
@@ -8,8 +9,9 @@
 using duration = std::chrono::milliseconds;
 using time_point = std::chrono::time_point<std::chrono::steady_clock, duration>;
 
-/// A source of monotonic time. There is no wall-clock time, because times of
-/// different machines are never compared.
+/// A source of monotonic time, which also passes while the machine is
+/// suspended. There is no wall-clock time, because times of different machines
+/// are never compared.
 class clock
 {
 public:
@@ -25,8 +27,13 @@
 public:
     time_point now() const override
     {
-        return std::chrono::time_point_cast<duration>(
-            std::chrono::steady_clock::now());
+        // std::chrono::steady_clock stops while the machine is suspended, and a
+        // lease would then seem to be valid for longer than it is.
+        timespec now{};
+        clock_gettime(CLOCK_BOOTTIME, &now);
+        return time_point(std::chrono::duration_cast<duration>(
+            std::chrono::seconds(now.tv_sec) +
+            std::chrono::nanoseconds(now.tv_nsec)));
     }
 };
 
--- a/packages/core/timer_service.cpp
+++ b/packages/core/timer_service.cpp
@@ -68,8 +68,8 @@
             continue;
         }
         auto const due_at = next->second.due_at;
-        if (clock_.now() < due_at) {
-            state_changed_.wait_until(lock, due_at);
+        if (auto const now = clock_.now(); now < due_at) {
+            state_changed_.wait_for(lock, due_at - now);
             continue;
         }
         auto& subscriber = next->second;
--- a/packages/http/civetweb_client.cpp
+++ b/packages/http/civetweb_client.cpp
@@ -219,8 +219,9 @@
     }
 
     std::unique_lock lock(state->mutex);
-    if (state->finished.wait_until(lock, state->deadline,
-                                   [&] { return state->outcome.has_value(); }))
+    if (state->finished.wait_for(lock,
+                                 state->deadline - core::system_clock().now(),
+                                 [&] { return state->outcome.has_value(); }))
         return std::move(*state->outcome);
     state->is_abandoned = true;
     if (!state->is_sending)
