scheduler: Keep what a lost run had saved, and count ends that come late

Cause: reports list the checkpoint of each run, but a run that was recorded as lost or lapsed was started again from the checkpoint of the run before, so up to all of its work was thrown away. An end that became known after the run had been taken as lost was acknowledged without being counted, so that a task could be tried more often than allowed, or done again. A member of a broken gang on a silent worker was taken as ended although its start may be carried out late.

Change: an assignment keeps the reported checkpoint. Tasks remember the runs that were taken as lost; a late end counts once, with its checkpoint, and ends a later run if the task was done. Open occurrences are bounded by what fits in a row.

--- a/packages/scheduler/open_job.hpp
+++ b/packages/scheduler/open_job.hpp
@@ -34,6 +34,7 @@
     std::optional<core::time_point> first_seen_at;
     std::int32_t first_seen_percent = 0; ///< its progress at that time
     std::int32_t percent = 0;            ///< its progress as last reported
+    std::string checkpoint; ///< as last reported; empty if there is none
     /// The processor share, in percent, to which its agent limits it.
     std::int32_t share = 100;
     core::time_point percent_changed_at{};
--- a/packages/scheduler/run_end_recorder.cpp
+++ b/packages/scheduler/run_end_recorder.cpp
@@ -14,6 +14,14 @@
         .steps[static_cast<std::size_t>(id.step)];
 }
 
+void add_unconfirmed_run(jobs::task_progress& task, std::int64_t run)
+{
+    auto& runs = task.unconfirmed_runs;
+    runs.push_back(run);
+    if (runs.size() > jobs::max_unconfirmed_runs)
+        runs.erase(runs.begin());
+}
+
 } // namespace
 
 void run_end_recorder::record(open_job& job, assignments::iterator run,
@@ -21,6 +29,7 @@
                               core::time_point now)
 {
     auto const order = run->second.order;
+    auto const reported_checkpoint = run->second.checkpoint;
     if (end == jobs::run_end::done)
         statistics_.observe_success(job, run->second, now);
     index_.remove(order.agent, order.run.task);
@@ -30,15 +39,22 @@
     auto* const task = find_task(job, order.run.task);
     if (task == nullptr)
         return;
+    auto& saved = find_checkpoint_owner(job, order.run.task)->checkpoint;
     if (!checkpoint.empty())
-        find_checkpoint_owner(job, order.run.task)->checkpoint = checkpoint;
+        saved = checkpoint;
+    else if (!reported_checkpoint.empty() && saved == order.checkpoint)
+        saved = reported_checkpoint;
     switch (end) {
     case jobs::run_end::done:
         statistics_.health.record_success(order.agent);
         mark_done(job, order.run.task);
         break;
     case jobs::run_end::failed:
-        record_failure(job, order, now);
+        record_failure(job, order.agent, order.run, now);
+        break;
+    case jobs::run_end::lost:
+    case jobs::run_end::lapsed:
+        add_unconfirmed_run(*task, order.run.run);
         break;
     case jobs::run_end::refused:
         statistics_.health.record_refusal(order.agent, now);
@@ -49,6 +65,25 @@
     mark_gang_broken(job, order.run, end, now);
 }
 
+bool run_end_recorder::record_late(open_job& job, std::string const& agent,
+                                   jobs::ended_run const& late,
+                                   core::time_point now)
+{
+    auto* const task = find_task(job, late.run.task);
+    if (task == nullptr ||
+        std::erase(task->unconfirmed_runs, late.run.run) == 0)
+        return false;
+    changes_.find_or_add(job);
+    // A newer run may have saved more.
+    if (!late.checkpoint.empty() && task->last_run == late.run.run)
+        find_checkpoint_owner(job, late.run.task)->checkpoint = late.checkpoint;
+    if (late.end == jobs::run_end::done)
+        mark_done(job, late.run.task);
+    else if (late.end == jobs::run_end::failed)
+        record_failure(job, agent, late.run, now);
+    return true;
+}
+
 void run_end_recorder::mark_done(open_job& job, jobs::task_id const& task)
 {
     auto const& step = step_of(job, task);
@@ -63,14 +98,14 @@
         member.is_done = true;
 }
 
-void run_end_recorder::record_failure(open_job& job,
-                                      jobs::run_order const& order,
+void run_end_recorder::record_failure(open_job& job, std::string const& agent,
+                                      jobs::run_id const& failed,
                                       core::time_point now)
 {
-    auto const& id = order.run.task;
+    auto const& id = failed.task;
     auto const& step = step_of(job, id);
-    statistics_.health.record_failure(order.agent, id.job_id, now);
-    job.failed_at_by_agent[step_key_of(id)][order.agent] = now;
+    statistics_.health.record_failure(agent, id.job_id, now);
+    job.failed_at_by_agent[step_key_of(id)][agent] = now;
     if (step.is_long_running)
         return;
     if (!step.is_gang) {
@@ -79,10 +114,12 @@
         // If several members of one gang run fail, that is one failed attempt.
         auto& counted_runs =
             job.progress.occurrences[id.occurrence].failed_gang_runs[id.step];
-        if (!counted_runs.insert(order.run.run).second)
+        if (!counted_runs.insert(failed.run).second)
             return;
-        for (auto& member : tasks_of_step(job, id))
+        for (auto& member : tasks_of_step(job, id)) {
             ++member.failures;
+            std::erase(member.unconfirmed_runs, failed.run);
+        }
     }
     if (find_task(job, id)->failures < job.submission.parameters.max_attempts)
         return;
--- a/packages/scheduler/run_end_recorder.hpp
+++ b/packages/scheduler/run_end_recorder.hpp
@@ -32,10 +32,20 @@
     void record(open_job& job, assignments::iterator run, jobs::run_end end,
                 std::string const& checkpoint, core::time_point now);
 
+    /// Records how a run ended that was recorded as lost or lapsed before. Has
+    /// no effect on other runs, so the same end may be reported again.
+    /// @param job the job of the run
+    /// @param agent the agent that reports the end
+    /// @param late the end
+    /// @param now the current time
+    /// @return whether the end was recorded
+    bool record_late(open_job& job, std::string const& agent,
+                     jobs::ended_run const& late, core::time_point now);
+
 private:
     void mark_done(open_job& job, jobs::task_id const& task);
-    void record_failure(open_job& job, jobs::run_order const& order,
-                        core::time_point now);
+    void record_failure(open_job& job, std::string const& agent,
+                        jobs::run_id const& failed, core::time_point now);
     void mark_gang_broken(open_job& job, jobs::run_id const& ended,
                           jobs::run_end end, core::time_point now);
 
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -139,6 +139,7 @@
             tracked_run.first_seen_percent = task.percent;
         }
         tracked_run.percent = task.percent;
+        tracked_run.checkpoint = task.checkpoint;
         tracked_run.share = task.share;
         tracked_run.last_seen_at = now;
         statistics_.observe_progress(job->second, tracked_run);
@@ -149,8 +150,10 @@
                                  core::time_point now)
 {
     std::map<jobs::run_id, jobs::ended_run const*> ended;
-    for (auto const& task : report.ended)
+    for (auto const& task : report.ended) {
         ended.emplace(task.run, &task);
+        record_late_end(report.agent, task, now);
+    }
     bool const has_executor_ended =
         report.worker.state == jobs::worker_state::gone;
     auto const& current_executor = report.worker.executor;
@@ -168,6 +171,21 @@
     }
 }
 
+void scheduler_core::record_late_end(std::string const& agent,
+                                     jobs::ended_run const& late,
+                                     core::time_point now)
+{
+    auto const found = jobs_.find(late.run.task.job_id);
+    if (found == jobs_.end() || jobs::is_final(found->second.progress.state))
+        return;
+    auto& job = found->second;
+    if (!end_recorder_.record_late(job, agent, late, now))
+        return;
+    auto const run = job.assignments.find(late.run.task);
+    if (find_task(job, late.run.task)->is_done && run != job.assignments.end())
+        stop_step(job, late.run.task, "an earlier run has completed");
+}
+
 void scheduler_core::stop_run(open_job& job, assignment& run,
                               std::string_view reason)
 {
@@ -236,8 +254,10 @@
     auto const silence =
         time.reports_confirmed_at - worker->second.last_report_at;
     // A member ends as broken because another one has ended. The members of a
-    // gang end together, so those on silent workers have ended as well.
-    if (run.has_gang_ended && silence > limits_.report_freshness_limit)
+    // gang end together, so those on silent workers have ended as well. One
+    // that was never seen may still start, if its order is carried out late.
+    if (run.has_gang_ended && run.first_seen_at &&
+        silence > limits_.report_freshness_limit)
         return true;
     return silence > limits_.lost_after;
 }
@@ -245,13 +265,20 @@
 void scheduler_core::open_due_occurrences(open_job& job, std::int64_t unix_ms)
 {
     auto const& spec = job.submission.spec;
+    auto& open = job.progress.occurrences;
+    // Further ones are opened once earlier ones have finished, so that the
+    // progress of all open ones fits in a row.
+    auto const most_open = std::max<std::int64_t>(
+        jobs::max_tasks / std::max<std::int64_t>(jobs::task_count(spec), 1), 1);
     for (std::int64_t number = 0; number < spec.occurrences(); ++number) {
         auto const due = spec.first_due_ms + number * spec.interval.count();
         if (spec.is_repeated() && unix_ms < due)
             return;
         if (job.progress.finished_occurrences.contains(number))
             continue;
-        job.progress.occurrences.try_emplace(number, make_occurrence(spec));
+        if (static_cast<std::int64_t>(open.size()) >= most_open)
+            return;
+        open.try_emplace(number, make_occurrence(spec));
     }
 }
 
--- a/packages/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/scheduler_core.hpp
@@ -126,6 +126,9 @@
     /// Records the runs that a report lists as ended, and as lost those of an
     /// executor that has ended or restarted.
     void record_ends(jobs::worker_report const& report, core::time_point now);
+    /// Records how a run ended that had been taken as lost.
+    void record_late_end(std::string const& agent, jobs::ended_run const& late,
+                         core::time_point now);
     /// @return whether a run on a silent worker must have ended
     bool has_provably_ended(assignment const& run,
                             decision_time const& time) const;
