core: Give the lines about jobs and runs a rate limit of their own

Change: log_decision() has its own token bucket, still bounded; lines of calls that are turned away unauthorized stay with the other events, so that a flood of them displaces nothing.

--- a/packages/agents/agent_service.cpp
+++ b/packages/agents/agent_service.cpp
@@ -277,12 +277,12 @@
                          timers_.now() - sent_at);
         if (reply.clock_ms && action.order.executor == worker_.executor)
             lease_.record_clock(*reply.clock_ms, timers_.now());
-        core::log_event(action.type == run_tracker::action::kind::start
-                            ? "start_answered"
-                            : "stop_answered",
-                        {{"run", to_text(action.order.run)},
-                         {"outcome", std::string(name(reply.outcome))},
-                         {"reason", reply.reason}});
+        core::log_decision(action.type == run_tracker::action::kind::start
+                               ? "start_answered"
+                               : "stop_answered",
+                           {{"run", to_text(action.order.run)},
+                            {"outcome", std::string(name(reply.outcome))},
+                            {"reason", reply.reason}});
         tracker_.receive_answer(action, reply, timers_.now());
         advance_timer_ =
             timers_.after(core::duration(0), [this] { advance_runs(); });
@@ -367,10 +367,10 @@
     for (auto const& end : snapshot.ended) {
         if (!ends_.record_listed(end.number))
             continue;
-        core::log_event("run_end_listed",
-                        {{"run", to_text(end.task.run)},
-                         {"end", std::string(jobs::name(end.task.end))},
-                         {"number", end.number}});
+        core::log_decision("run_end_listed",
+                           {{"run", to_text(end.task.run)},
+                            {"end", std::string(jobs::name(end.task.end))},
+                            {"number", end.number}});
     }
     stop_runs_without_order();
     throttle_fillers();
@@ -429,7 +429,7 @@
         jobs::run_order order;
         order.run = run;
         order.executor = worker_.executor;
-        core::log_event("unordered_run_stopped", {{"run", to_text(run)}});
+        core::log_decision("unordered_run_stopped", {{"run", to_text(run)}});
         runtime_.stop(order, [](order_reply const&) {
             // The next snapshot shows whether the run has ended.
         });
--- a/packages/core/event_log.cpp
+++ b/packages/core/event_log.cpp
@@ -18,15 +18,53 @@
 /// this size without blocking.
 constexpr std::size_t max_line_bytes = 4096;
 
+/// Limits the rate of lines.
+struct token_bucket
+{
+    double lines_per_second = 0;
+    double size = 0;
+    double tokens = 0; ///< lines that may be written now
+    std::chrono::steady_clock::time_point refilled_at{};
+
+    void reset(std::int64_t rate, std::int64_t burst)
+    {
+        lines_per_second = static_cast<double>(rate);
+        size = static_cast<double>(burst);
+        tokens = size;
+        refilled_at = std::chrono::steady_clock::now();
+    }
+
+    /// Refills the bucket for the time since the last call.
+    /// @return false if the rate limit is exceeded
+    bool consume()
+    {
+        auto const now = std::chrono::steady_clock::now();
+        std::chrono::duration<double> const elapsed = now - refilled_at;
+        refilled_at = now;
+        tokens = std::min(size, tokens + elapsed.count() * lines_per_second);
+        if (tokens < 1)
+            return false;
+        tokens -= 1;
+        return true;
+    }
+};
+
 /// The event log of the process.
 struct log_state
 {
+    log_state() { set_limits({}); }
+
+    void set_limits(event_log_limits const& limits)
+    {
+        events.reset(limits.lines_per_second, limits.burst_lines);
+        decisions.reset(limits.decision_lines_per_second,
+                        limits.decision_burst_lines);
+    }
+
     std::mutex mutex;
     std::string node;
-    event_log_limits limits;
-    double tokens = 600; ///< lines that may be written now; see limits
-    std::chrono::steady_clock::time_point refilled_at =
-        std::chrono::steady_clock::now();
+    token_bucket events;
+    token_bucket decisions;
     std::int64_t dropped_lines = 0; ///< since the process started
     /// The part of dropped_lines that log_lines_dropped events have reported.
     std::int64_t reported_dropped_lines = 0;
@@ -39,23 +77,6 @@
     return instance;
 }
 
-/// Refills the token bucket for the time since the last call.
-/// @return false if the rate limit is exceeded
-bool consume_token(log_state& log)
-{
-    auto const now = std::chrono::steady_clock::now();
-    std::chrono::duration<double> const elapsed = now - log.refilled_at;
-    log.refilled_at = now;
-    log.tokens = std::min(
-        static_cast<double>(log.limits.burst_lines),
-        log.tokens +
-            elapsed.count() * static_cast<double>(log.limits.lines_per_second));
-    if (log.tokens < 1)
-        return false;
-    log.tokens -= 1;
-    return true;
-}
-
 /// Writes a line to standard output without blocking.
 /// @return false if the line is too long or the output buffer is full
 bool write_line(std::string line)
@@ -93,12 +114,14 @@
     auto& log = state();
     std::lock_guard const lock(log.mutex);
     log.node = std::move(node);
-    log.limits = limits;
-    log.tokens = static_cast<double>(limits.burst_lines);
+    log.set_limits(limits);
 }
 
-void log_event(std::string_view event,
-               std::initializer_list<event_field> fields)
+namespace {
+
+/// @param bucket the rate limit that applies to the event
+void write_event(token_bucket log_state::*bucket, std::string_view event,
+                 std::initializer_list<event_field> fields)
 {
     auto& log = state();
     std::lock_guard const lock(log.mutex);
@@ -107,7 +130,7 @@
         log.calls_by_event.emplace(event, 1);
     else
         ++found->second;
-    if (!consume_token(log) ||
+    if (!(log.*bucket).consume() ||
         !write_line(format_line(log.node, event, fields))) {
         ++log.dropped_lines;
         return;
@@ -121,6 +144,20 @@
         log.reported_dropped_lines = log.dropped_lines;
 }
 
+} // namespace
+
+void log_event(std::string_view event,
+               std::initializer_list<event_field> fields)
+{
+    write_event(&log_state::events, event, fields);
+}
+
+void log_decision(std::string_view event,
+                  std::initializer_list<event_field> fields)
+{
+    write_event(&log_state::decisions, event, fields);
+}
+
 std::map<std::string, std::int64_t> event_counts()
 {
     auto& log = state();
--- a/packages/gateway/customer_service.cpp
+++ b/packages/gateway/customer_service.cpp
@@ -45,11 +45,19 @@
     return reply;
 }
 
+/// Logs a call that was turned away before it was known which job it is for.
+void log_refused_call(std::string_view event, customer_call const& call,
+                      std::string_view detail)
+{
+    core::log_event(event, {{"job", call.path.substr(call.path.rfind('/') + 1)},
+                            {"detail", std::string(detail)}});
+}
+
 /// Logs an event about a job.
 void log_job_event(std::string_view event, std::string const& job,
                    std::string_view detail)
 {
-    core::log_event(event, {{"job", job}, {"detail", std::string(detail)}});
+    core::log_decision(event, {{"job", job}, {"detail", std::string(detail)}});
 }
 
 /// @return how long a call's write may be retried
@@ -120,9 +128,8 @@
                                       customer_responder respond)
 {
     if (!are_replicas_current()) {
-        log_job_event("call_refused",
-                      call.path.substr(call.path.rfind('/') + 1),
-                      "the replicas of the rules and the jobs are outdated");
+        log_refused_call("call_refused", call,
+                         "the replicas of the rules and the jobs are outdated");
         return respond(make_retryable_reply(call_outcome::unavailable));
     }
     auto const rules = rules_.current();
@@ -130,9 +137,7 @@
     if (queue == nullptr)
         return respond(make_reply(call_outcome::no_queue));
     if (!queue->is_public && !rules->customer_by_key.contains(call.key)) {
-        log_job_event("call_unauthorized",
-                      call.path.substr(call.path.rfind('/') + 1),
-                      queue->parameters.queue);
+        log_refused_call("call_unauthorized", call, queue->parameters.queue);
         return respond(make_reply(call_outcome::unauthorized));
     }
     auto const job_id = call.path.substr(queue->path_prefix.size());
--- a/packages/scheduler/change_log.cpp
+++ b/packages/scheduler/change_log.cpp
@@ -14,24 +14,24 @@
     auto const run = to_text(order.order.run);
     switch (order.action) {
     case order_change::action_type::start:
-        core::log_event("run_ordered",
-                        {{"job", job_id},
-                         {"run", run},
-                         {"agent", order.order.agent},
-                         {"executor", order.order.executor.id},
-                         {"checkpoint", order.order.checkpoint}});
+        core::log_decision("run_ordered",
+                           {{"job", job_id},
+                            {"run", run},
+                            {"agent", order.order.agent},
+                            {"executor", order.order.executor.id},
+                            {"checkpoint", order.order.checkpoint}});
         return;
     case order_change::action_type::stop:
-        core::log_event("run_stop_ordered", {{"job", job_id},
-                                             {"run", run},
-                                             {"agent", order.order.agent},
-                                             {"reason", order.reason}});
+        core::log_decision("run_stop_ordered", {{"job", job_id},
+                                                {"run", run},
+                                                {"agent", order.order.agent},
+                                                {"reason", order.reason}});
         return;
     case order_change::action_type::remove:
-        core::log_event("run_ended", {{"job", job_id},
-                                      {"run", run},
-                                      {"agent", order.order.agent},
-                                      {"end", order.reason}});
+        core::log_decision("run_ended", {{"job", job_id},
+                                         {"run", run},
+                                         {"agent", order.order.agent},
+                                         {"end", order.reason}});
         return;
     }
 }
@@ -48,7 +48,7 @@
         tasks += step.task_count;
         accelerators += step.task_count * step.task.accelerators;
     }
-    core::log_event(
+    core::log_decision(
         "job_queued",
         {{"job", job.job_id},
          {"customer", job.customer},
@@ -67,7 +67,7 @@
         for (auto const& order : change.orders)
             log_order(change.job_id, order);
         if (change.has_just_finished) {
-            core::log_event(
+            core::log_decision(
                 "job_finished",
                 {{"job", change.job_id},
                  {"state", std::string(jobs::name(change.progress.state))}});
--- a/tests/agents/agent_service_test.cpp
+++ b/tests/agents/agent_service_test.cpp
@@ -513,6 +513,24 @@
     EXPECT_LE(executor.lease_end_ms, executor.clock_ms() + 6000);
 }
 
+// Guards against a server that has left being used again because one of its
+// heartbeats arrives late, also after a restart of the agent.
+TEST_F(agent_service_test, ignores_heartbeats_of_an_executor_that_has_left)
+{
+    begin();
+    agent->receive_deregistration("i-1", 1);
+    heartbeat(jobs::worker_state::ready);
+    timers.advance(500ms);
+    EXPECT_EQ(report().worker.state, jobs::worker_state::gone);
+    agent.emplace(store, timers, executor, notices,
+                  agent_service::options{"a", {6s, 1s}});
+    agent->start();
+    timers.advance(500ms);
+    heartbeat(jobs::worker_state::ready);
+    timers.advance(500ms);
+    EXPECT_EQ(report().worker.state, jobs::worker_state::gone);
+}
+
 // Guards against giving up the runs of an executor that has restarted under its
 // old id when the deregistration of its predecessor arrives late.
 TEST_F(agent_service_test, ignores_a_late_deregistration)
--- a/tests/core/event_log_test.cpp
+++ b/tests/core/event_log_test.cpp
@@ -81,5 +81,24 @@
     EXPECT_GE(event_counts().at("flood"), 200);
 }
 
+// Guards against a history of a job that lacks its orders and ends because many
+// other events were logged at the same time.
+TEST(event_log, keeps_decisions_when_other_lines_are_dropped)
+{
+    stdout_capture const output;
+    set_event_source("entry-1", {10, 20, 10, 50});
+    for (int count = 0; count < 200; ++count)
+        log_event("flood", {});
+    for (int count = 0; count < 50; ++count)
+        log_decision("run_ordered", {});
+    auto const text = output.read_all();
+    std::size_t decisions = 0;
+    for (auto position = text.find("run_ordered");
+         position != std::string::npos;
+         position = text.find("run_ordered", position + 1))
+        ++decisions;
+    EXPECT_EQ(decisions, 50U);
+}
+
 } // namespace
 } // namespace sequoiaroute::core
