--- a/packages/agents/agent_service.cpp
+++ b/packages/agents/agent_service.cpp
@@ -198,7 +198,9 @@
         is_report_outdated_ = true;
         is_state_change_unsent_ = true;
         core::log_event(is_new ? "executor_joined" : "executor_changed",
-                        {{"executor", worker.executor.id},
+                        {{"agent", options_.agent},
+                         {"data_centre", worker.data_centre},
+                         {"executor", worker.executor.id},
                          {"born_ms", worker.executor.born_ms},
                          {"state", std::string(jobs::name(worker.state))},
                          {"remaining_ms", worker.remaining.count()}});
--- a/packages/programs/command_line.cpp
+++ b/packages/programs/command_line.cpp
@@ -33,6 +33,11 @@
          "explain ID FILE...",
          "Shows the timeline of one job from the event logs of all processes.",
          {}},
+        {"report",
+         "report FILE...",
+         "Shows what jobs waited for and which work was lost to what, from the "
+         "event logs of all processes.",
+         {"json", "plot"}},
         {"rules",
          "rules check FILE | rules show | rules apply FILE --generation=N",
          "Checks, shows or applies the rule file. show prints the text to "
--- a/packages/programs/flags.cpp
+++ b/packages/programs/flags.cpp
@@ -8,6 +8,8 @@
 ABSL_FLAG(std::string, key_file, "",
           "file with the key of the customer or operator");
 ABSL_FLAG(bool, json, false, "print the answer as JSON");
+ABSL_FLAG(std::string, plot, "",
+          "file to which the time line is written as SVG");
 ABSL_FLAG(std::int64_t, generation, -1,
           "generation from which the rule file was edited");
 ABSL_FLAG(std::string, request_id, "", "id of the request; generated if empty");
--- a/packages/programs/flags.hpp
+++ b/packages/programs/flags.hpp
@@ -13,6 +13,7 @@
 ABSL_DECLARE_FLAG(std::vector<std::string>, entries);
 ABSL_DECLARE_FLAG(std::string, key_file);
 ABSL_DECLARE_FLAG(bool, json);
+ABSL_DECLARE_FLAG(std::string, plot);
 ABSL_DECLARE_FLAG(std::int64_t, generation);
 ABSL_DECLARE_FLAG(std::string, request_id);
 ABSL_DECLARE_FLAG(std::string, service);
--- a/packages/programs/sequoiaroute.cpp
+++ b/packages/programs/sequoiaroute.cpp
@@ -6,6 +6,7 @@
 #include "programs/entry_settings.hpp"
 #include "programs/explain_command.hpp"
 #include "programs/flags.hpp"
+#include "programs/report_command.hpp"
 #include "programs/schedule_entry.hpp"
 
 #include <cstdio>
@@ -98,6 +99,8 @@
     }
     if (line.command == "explain")
         return run_explain(line.operands);
+    if (line.command == "report")
+        return run_report(line.operands);
     if (line.command == "schedule")
         return run_schedule_entry(absl::GetFlag(FLAGS_settings));
     return line.command == "serve" ? run_serve() : run_client(line);
--- a/packages/scheduler/change_log.cpp
+++ b/packages/scheduler/change_log.cpp
@@ -41,12 +41,16 @@
 void log_job_queued(jobs::submission const& job, rows::row_version version)
 {
     std::int64_t tasks = 0;
+    std::int64_t millicores = 0;
     std::int64_t accelerators = 0;
+    std::int64_t gangs = 0;
     core::duration longest_estimate{0};
     for (auto const& step : job.spec.steps) {
         longest_estimate = std::max(longest_estimate, step.estimate);
         tasks += step.task_count;
+        millicores += step.task_count * step.task.millicores;
         accelerators += step.task_count * step.task.accelerators;
+        gangs += step.is_gang ? 1 : 0;
     }
     core::log_decision(
         "job_queued",
@@ -56,6 +60,8 @@
          {"priority", job.parameters.priority},
          {"steps", static_cast<std::int64_t>(job.spec.steps.size())},
          {"tasks", tasks},
+         {"gangs", gangs},
+         {"millicores", millicores},
          {"accelerators", accelerators},
          {"estimate_ms", longest_estimate.count()},
          {"version", static_cast<std::int64_t>(version)}});
