scheduler: Count objectives and run times from the true start

Cause: a decider that takes over counted the objective of each job, and the run time of each run, from the takeover. Jobs that were late displaced jobs that could still be in time, and run times learnt after a takeover were far too short. restore_order() used a task after it had been moved from.

Change: the row of a job says when it was accepted, by the store's clock. Runs that an earlier decider ordered teach no run times.

--- a/packages/gateway/customer_service.cpp
+++ b/packages/gateway/customer_service.cpp
@@ -183,6 +183,7 @@
     submission.job_id = job_id;
     submission.parameters = queue.parameters;
     submission.spec = std::move(*call.spec);
+    submission.accepted_at = work_.store_time();
     if (auto const customer = rules->customer_by_key.find(call.key);
         customer != rules->customer_by_key.end())
         submission.customer = customer->second;
--- a/packages/jobs/job_spec.hpp
+++ b/packages/jobs/job_spec.hpp
@@ -126,6 +126,9 @@
     std::string customer;
     queue_parameters parameters;
     job_spec spec;
+    /// When the entry accepted it, by the steady clock of the store; zero if
+    /// that is not known.
+    core::duration accepted_at{0};
 };
 
 /// Identifies a task.
--- a/packages/jobs/row_codec.cpp
+++ b/packages/jobs/row_codec.cpp
@@ -199,6 +199,8 @@
                   {"objective_ms", value.parameters.objective_slack.count()},
                   {"payload", value.spec.payload},
                   {"steps", std::move(steps)}};
+    if (value.accepted_at > core::duration(0))
+        document["accepted_at_ms"] = value.accepted_at.count();
     if (value.parameters.needs_tickets())
         document["ticket_validity_ms"] =
             value.parameters.ticket_validity.count();
@@ -226,6 +228,7 @@
             core::to_duration(document.at("objective_ms"));
         value.parameters.ticket_validity =
             core::duration_field(document, "ticket_validity_ms");
+        value.accepted_at = core::duration_field(document, "accepted_at_ms");
         value.spec.payload = document.at("payload");
         for (auto const& step : core::elements_of(document.at("steps")))
             value.spec.steps.push_back(step_from(step));
--- a/packages/scheduler/change_log.cpp
+++ b/packages/scheduler/change_log.cpp
@@ -63,6 +63,7 @@
          {"gangs", gangs},
          {"millicores", millicores},
          {"accelerators", accelerators},
+         {"payload_bytes", static_cast<std::int64_t>(job.spec.payload.size())},
          {"estimate_ms", longest_estimate.count()},
          {"version", static_cast<std::int64_t>(version)}});
 }
--- a/packages/scheduler/decider_service.cpp
+++ b/packages/scheduler/decider_service.cpp
@@ -324,7 +324,8 @@
         log_job_queued(core::value(job), changed.version);
         jobs_without_order_.emplace(core::value(job).job_id, timers_.now());
         auto const id = core::value(job).job_id;
-        core_->add_submission(core::value(std::move(job)), timers_.now());
+        auto const accepted_at = acceptance_time(core::value(job));
+        core_->add_submission(core::value(std::move(job)), accepted_at);
         // The cancellation may have arrived first, in a notice.
         if (work_.version_of(rows::layout::cancel_row(id)) != rows::no_row)
             core_->cancel(id);
@@ -333,6 +334,17 @@
     }
 }
 
+/// The objective of a job counts from its acceptance, also after a takeover.
+core::time_point
+decider_service::acceptance_time(jobs::submission const& job) const
+{
+    auto const now = timers_.now();
+    if (job.accepted_at == core::duration(0))
+        return now;
+    auto const age = work_.store_time() - job.accepted_at;
+    return now - std::max(age, core::duration(0));
+}
+
 void decider_service::observe_report(rows::row const& changed,
                                      bool is_initial_load)
 {
--- a/packages/scheduler/decider_service.hpp
+++ b/packages/scheduler/decider_service.hpp
@@ -94,6 +94,7 @@
     /// Queues the changes of a round for writing, and the notices of them.
     void store_changes(std::vector<job_change> changes);
     /// Records a change of the lease row. Claims the lease if it is vacant.
+    core::time_point acceptance_time(jobs::submission const& job) const;
     void observe_lease(rows::row const& changed);
     lease_record read_lease(rows::row const& changed) const;
     /// Runs a round or, if this process is not the decider, checks whether the
--- a/packages/scheduler/group_builder.cpp
+++ b/packages/scheduler/group_builder.cpp
@@ -67,7 +67,7 @@
         std::min(job.submission.parameters.objective_factor *
                      static_cast<double>(critical_path.count()),
                  static_cast<double>(core::max_document_duration.count()));
-    return job.added_at + job.submission.parameters.objective_slack +
+    return job.accepted_at + job.submission.parameters.objective_slack +
            core::duration(static_cast<std::int64_t>(objective)) - critical_path;
 }
 
@@ -90,7 +90,7 @@
     }
     std::sort(urgent.begin(), urgent.end(),
               [](auto const* left, auto const* right) {
-                  return left->added_at < right->added_at;
+                  return left->accepted_at < right->accepted_at;
               });
     return urgent;
 }
--- a/packages/scheduler/open_job.hpp
+++ b/packages/scheduler/open_job.hpp
@@ -30,6 +30,8 @@
     jobs::run_order order;
     jobs::resources resources; ///< that it uses on its worker
     core::time_point ordered_at{};
+    /// Ordered by an earlier decider; ordered_at is the time of the takeover.
+    bool is_restored = false;
     /// When a report first listed it as running; empty before that.
     std::optional<core::time_point> first_seen_at;
     std::int32_t first_seen_percent = 0; ///< its progress at that time
@@ -57,7 +59,7 @@
 {
     jobs::submission submission;
     jobs::job_progress progress;
-    core::time_point added_at{}; ///< when this decider first read it
+    core::time_point accepted_at{};
     bool is_cancel_requested = false;
     std::map<jobs::task_id, assignment> assignments;
     /// Since when each step has had tasks that could start.
--- a/packages/scheduler/run_statistics.cpp
+++ b/packages/scheduler/run_statistics.cpp
@@ -43,8 +43,9 @@
 void run_statistics::observe_success(open_job const& job, assignment const& run,
                                      core::time_point now)
 {
-    // A run that starts from a checkpoint has less work to do.
-    if (!run.order.checkpoint.empty())
+    // A run that starts from a checkpoint has less work to do, and the start of
+    // one that an earlier decider ordered is not known.
+    if (!run.order.checkpoint.empty() || run.is_restored)
         return;
     auto const& task = run.order.run.task;
     auto const& step = step_of(job, task);
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -47,14 +47,14 @@
 } // namespace
 
 void scheduler_core::add_submission(jobs::submission submission,
-                                    core::time_point now)
+                                    core::time_point accepted_at)
 {
     auto const id = submission.job_id;
     auto& job = jobs_[id];
     if (!job.submission.job_id.empty())
         return;
     job.submission = std::move(submission);
-    job.added_at = now;
+    job.accepted_at = accepted_at;
 }
 
 void scheduler_core::restore_progress(std::string const& job_id,
@@ -76,10 +76,11 @@
     if (found == jobs_.end())
         return;
     auto& job = found->second;
-    auto const& task = order.run.task;
+    auto const task = order.run.task;
     if (static_cast<std::size_t>(task.step) >= job.submission.spec.steps.size())
         return;
     add_assignment(job, std::move(order), now);
+    job.assignments.at(task).is_restored = true;
 }
 
 void scheduler_core::add_assignment(open_job& job, jobs::run_order order,
--- a/packages/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/scheduler_core.hpp
@@ -66,8 +66,10 @@
 
     /// Adds a job. Does nothing if a job with this id was added before.
     /// @param submission the job
-    /// @param now when it was read; its completion objective counts from then
-    void add_submission(jobs::submission submission, core::time_point now);
+    /// @param accepted_at when it was accepted; its completion objective counts
+    ///        from then
+    void add_submission(jobs::submission submission,
+                        core::time_point accepted_at);
 
     /// Restores the stored progress of a job that was added. To be called
     /// before the first decide(). Ignores unknown jobs.
@@ -81,7 +83,8 @@
     /// Restores a stored order, whose run may still be running. To be called
     /// before the first decide(). Ignores orders of unknown jobs or steps.
     /// @param order the order
-    /// @param now the current time; the run time of its run counts from it
+    /// @param now the current time; how long its run has been running before is
+    ///        not known
     void restore_order(jobs::run_order order, core::time_point now);
 
     /// Requests the cancellation of a job; the next round carries it out.
--- a/tests/agents/agent_service_test.cpp
+++ b/tests/agents/agent_service_test.cpp
@@ -454,6 +454,22 @@
     EXPECT_TRUE(has_announced_end());
 }
 
+// Guards against a start that reaches another incarnation: the executor has not
+// answered for longer than its last snapshot confirms the one that it showed.
+TEST_F(agent_service_test, starts_nothing_without_a_recent_snapshot)
+{
+    begin();
+    executor.is_silent = true;
+    timers.advance(1600ms);
+    auto const order = make_order(0);
+    announce_order(order);
+    timers.advance(50ms);
+    EXPECT_TRUE(executor.running.empty());
+    executor.is_silent = false;
+    timers.advance(2s);
+    EXPECT_TRUE(executor.running.contains(order.run));
+}
+
 // Guards against giving up a machine that was only silent for a while.
 TEST_F(agent_service_test, uses_an_executor_again_that_was_only_silent)
 {
--- a/tests/jobs/row_codec_test.cpp
+++ b/tests/jobs/row_codec_test.cpp
@@ -37,6 +37,7 @@
     job.spec.repeats = 4;
     job.spec.first_due_ms = 1'700'000'000'000;
     job.spec.interval = core::duration(3000);
+    job.accepted_at = core::duration(77);
     auto const text = encode(job);
     auto const decoded = decode_submission(text);
     ASSERT_TRUE(core::is_ok(decoded));
--- a/tests/scheduler/decider_service_test.cpp
+++ b/tests/scheduler/decider_service_test.cpp
@@ -115,6 +115,28 @@
     EXPECT_TRUE(order("j"));
 }
 
+// Guards against objectives that count anew with each takeover, so that a job
+// which is already late displaces one that can still be in time.
+TEST_F(decider_service_test, counts_objectives_from_the_acceptance)
+{
+    add_worker("a");
+    auto const now = timers.now().time_since_epoch();
+    for (auto const& [id, age] : {std::pair("a-old", 900s), {"b-new", 0s}}) {
+        jobs::submission job;
+        job.job_id = id;
+        job.parameters = {"q", "s", 0, 2, 3, 1s};
+        job.spec.steps.resize(1);
+        job.spec.steps[0].task = {1000, 1000, 8};
+        job.spec.steps[0].estimate = 10s;
+        job.accepted_at = now - age;
+        store.put(rows::layout::job_row(id), jobs::encode(job));
+    }
+    entry first(store, timers, "one");
+    timers.advance(500ms);
+    EXPECT_TRUE(order("b-new"));
+    EXPECT_FALSE(order("a-old"));
+}
+
 // Guards against entries that end again and again because another program has
 // overwritten the row of the lease or of a report.
 TEST_F(decider_service_test, survives_odd_rows)
