tests: Check that a decider recognises its own write

Cause: with find_own_lease() taken out of the commit queue, the test of a lost answer still passed, because the decider gave the lease up and took it again.

Change: the test compares the term of the stored lease.

Result: it passes with the code as it is.

--- a/tests/scheduler/decider_service_test.cpp
+++ b/tests/scheduler/decider_service_test.cpp
@@ -210,6 +210,9 @@
     store.next_commits = memory_row_store::fault::none;
     timers.advance(2s);
     EXPECT_TRUE(first.decider.is_decider());
+    // It has recognised its own write, and has not given up the lease.
+    auto const lease = store.find(rows::layout::lease_row());
+    EXPECT_EQ(core::value(decode_lease(lease->value)).term, 1);
     EXPECT_TRUE(order("j"));
     EXPECT_FALSE(order("j", 2));
     add_worker("a");
