rows: Probe again while a probe of a silent store is pending

The callback also used the object without checking that it exists.

Change: up to five probes may be pending, one each 200 ms as before.

--- a/packages/rows/monitored_store.cpp
+++ b/packages/rows/monitored_store.cpp
@@ -9,6 +9,9 @@
 constexpr core::duration check_period{100};
 /// The least time between probes; the store charges for refused calls too.
 constexpr core::duration probe_period{200};
+/// A store that does not respond keeps a probe pending until it times out. The
+/// next ones do not wait for that, so that its return is noticed at once.
+constexpr std::size_t max_pending_probes = 5;
 /// Probes read the first row of this table, which need not exist.
 constexpr std::string_view probe_table = "sequoiaroute-work";
 
@@ -57,12 +60,17 @@
 void monitored_store::probe()
 {
     auto const now = timers_.now();
-    if (is_probing_ || now - last_probe_at_ < probe_period)
+    if (pending_probes_ >= max_pending_probes ||
+        now - last_probe_at_ < probe_period)
         return;
-    is_probing_ = true;
+    ++pending_probes_;
     last_probe_at_ = now;
+    std::weak_ptr<bool> const alive = alive_;
     read({std::string(probe_table), {}, {}, std::nullopt, 1},
-         [this](page const&) { is_probing_ = false; });
+         [this, alive](page const&) {
+             if (!alive.expired())
+                 --pending_probes_;
+         });
 }
 
 void monitored_store::commit(transaction changes, core::duration timeout,
--- a/packages/rows/monitored_store.hpp
+++ b/packages/rows/monitored_store.hpp
@@ -60,7 +60,7 @@
     std::vector<std::function<void()>> recovery_callbacks_;
     std::vector<std::function<void()>> outage_callbacks_;
     bool was_reachable_ = true;
-    bool is_probing_ = false;
+    std::size_t pending_probes_ = 0;
     core::time_point last_probe_at_{};
     core::time_point outage_started_at_{};
     std::unique_ptr<event::timer> check_timer_;
