scheduler: Give the election of the decider a class of its own

Cause: decider_service.cpp had grown to 564 lines with two jobs, of which the election has its own state: the observed lease, the claim, the reads before it.

Change: lease_candidate observes and claims the lease; decider_service keeps loading, rounds and commits. No behaviour is meant to change; a holder's claim is now refused in one place.

--- a/packages/scheduler/decider_service.cpp
+++ b/packages/scheduler/decider_service.cpp
@@ -16,15 +16,6 @@
 
 constexpr core::duration tick_period{100};
 constexpr core::duration renew_period{300};
-/// A lease that has not been renewed for this long, which is three missed
-/// renewals, may be taken over. Takeovers are safe at any time, since each
-/// write depends on the lease row; the wait only avoids needless ones.
-constexpr core::duration takeover_after{1100};
-/// A slow store delays renewals as well, so a takeover waits in addition for
-/// this many times the duration of a read.
-constexpr int read_time_factor = 6;
-/// A replica older than this does not show whether the lease was renewed.
-constexpr core::duration max_replica_age{1500};
 /// Delay before a round, to handle changes that arrive close together in one.
 constexpr core::duration round_delay{4};
 /// Delay before the report feed is polled again, to receive the reports of
@@ -54,6 +45,8 @@
     : store_(store), timers_(timers), work_(work), rules_(std::move(rules)),
       peers_(std::move(other_processes)), advice_(advice),
       options_(std::move(settings)),
+      candidate_(store, timers, work, options_.node, options_.address,
+                 [this](auto const& acquired) { become_decider(acquired); }),
       // Sampled once: the time of day may jump later, the steady clock does
       // not.
       unix_offset_ms_(unix_now_ms() - timers.now().time_since_epoch().count())
@@ -64,7 +57,7 @@
 
 void decider_service::start()
 {
-    lease_changed_at_ = timers_.now();
+    candidate_.start();
     tick_timer_ = timers_.every(tick_period, [this] { on_tick(); });
 }
 
@@ -80,27 +73,9 @@
 
 void decider_service::observe_lease(rows::row const& changed)
 {
-    observed_lease_ = changed.is_removed ? lease_record{} : read_lease(changed);
-    observed_lease_version_ =
-        changed.is_removed ? rows::no_row : changed.version;
-    lease_changed_at_ = timers_.now();
+    candidate_.observe(changed);
     if (commit_queue_ != nullptr && core_ == nullptr)
         schedule_round();
-    if (commit_queue_ == nullptr && is_lease_vacant())
-        try_acquire_lease();
-}
-
-/// A lease that cannot be decoded is vacant, and its holder loses it with its
-/// next write. Its term is kept, since terms never decrease.
-lease_record decider_service::read_lease(rows::row const& changed) const
-{
-    auto decoded = decode_lease(changed.value);
-    if (core::is_ok(decoded))
-        return core::value(std::move(decoded));
-    rows::log_unreadable_row(changed, core::failure(decoded));
-    lease_record vacant;
-    vacant.term = observed_lease_.term;
-    return vacant;
 }
 
 void decider_service::on_tick()
@@ -117,18 +92,7 @@
         run_round();
         return;
     }
-    if (!work_.is_loaded() || work_.age() > max_replica_age)
-        return;
-    if (is_lease_vacant())
-        try_acquire_lease();
-    else if (timers_.now() - lease_changed_at_ > takeover_after)
-        reread_and_claim(true);
-}
-
-void decider_service::take_over()
-{
-    if (commit_queue_ == nullptr && work_.is_loaded())
-        reread_and_claim(false);
+    candidate_.check();
 }
 
 void decider_service::request_takeover()
@@ -143,97 +107,15 @@
         peers_.sender.request_takeover(entry);
 }
 
-bool decider_service::is_lease_vacant() const
-{
-    // A lease held under this process's own name is from before its restart.
-    return observed_lease_.holder.empty() ||
-           observed_lease_.holder == options_.node;
-}
-
-/// Reads the lease row from the store before a claim: the replica may lag, and
-/// the duration of the read shows how slow the store is.
-void decider_service::reread_and_claim(bool is_expiry_required)
-{
-    if (is_rereading_ || is_stopped_)
-        return;
-    is_rereading_ = true;
-    auto const key = rows::layout::lease_row();
-    auto const requested_at = timers_.now();
-    std::weak_ptr<bool> const alive = alive_;
-    store_.read(rows::layout::single_row_range(key),
-                [this, alive, requested_at,
-                 is_expiry_required](rows::page const& page) {
-                    if (alive.expired())
-                        return;
-                    is_rereading_ = false;
-                    if (!page.is_ok || page.rows.empty())
-                        return;
-                    if (!is_expiry_required &&
-                        page.rows[0].version > observed_lease_version_)
-                        observe_lease(page.rows[0]);
-                    if (page.rows[0].version != observed_lease_version_)
-                        return;
-                    auto const now = timers_.now();
-                    if (!is_expiry_required ||
-                        now - lease_changed_at_ >
-                            takeover_after +
-                                read_time_factor * (now - requested_at))
-                        try_acquire_lease();
-                });
-}
-
-void decider_service::try_acquire_lease()
-{
-    if (is_acquiring_ || is_stopped_ || !work_.is_loaded())
-        return;
-    is_acquiring_ = true;
-    // A claim without an answer is retried unchanged, so that a conflict with
-    // its own earlier attempt is recognised.
-    if (!claim_ || claim_base_version_ != observed_lease_version_) {
-        claim_ = lease_record{options_.node, options_.address,
-                              observed_lease_.term + 1, 0};
-        claim_base_version_ = observed_lease_version_;
-        previous_holder_ = observed_lease_.holder;
-    }
-    rows::transaction transaction;
-    transaction.conditions.push_back(
-        {rows::layout::lease_row(), claim_base_version_});
-    transaction.writes.push_back({rows::layout::lease_row(), encode(*claim_)});
-    std::weak_ptr<bool> const alive = alive_;
-    store_.commit(std::move(transaction), commit_timeout,
-                  [this, alive](rows::commit_result const& result) {
-                      if (!alive.expired())
-                          handle_claim_result(result);
-                  });
-}
-
-void decider_service::handle_claim_result(rows::commit_result const& result)
-{
-    is_acquiring_ = false;
-    if (result.outcome == rows::commit_outcome::committed)
-        return become_decider(result.version);
-    if (result.outcome != rows::commit_outcome::conflict)
-        return;
-    if (!claim_)
-        return;
-    if (auto const version = find_own_lease(result, encode(*claim_)))
-        become_decider(*version);
-}
-
-void decider_service::become_decider(rows::row_version version)
+void decider_service::become_decider(
+    lease_candidate::acquisition const& acquired)
 {
-    core::log_event(
-        "lease_acquired",
-        {{"term", claim_->term},
-         {"previous", previous_holder_},
-         {"unchanged_ms", (timers_.now() - lease_changed_at_).count()}});
-    acquired_version_ = version;
+    acquired_version_ = acquired.version;
     commit_observer& observer = *this;
-    commit_queue_ = std::make_unique<commit_queue>(store_, timers_, *claim_,
-                                                   version, observer);
-    claim_.reset();
+    commit_queue_ = std::make_unique<commit_queue>(
+        store_, timers_, acquired.lease, acquired.version, observer);
     order_loader_ = std::make_unique<order_loader>(
-        store_, timers_, version, [this] { build_core_if_loaded(); });
+        store_, timers_, acquired.version, [this] { build_core_if_loaded(); });
     report_replica_ = std::make_unique<rows::table_replica>(
         store_, timers_,
         rows::table_replica::options{std::string(rows::layout::reports_table),
@@ -256,7 +138,7 @@
     report_replica_.reset();
     commit_queue_.reset();
     round_timer_.reset();
-    lease_changed_at_ = timers_.now();
+    candidate_.rejoin();
 }
 
 void decider_service::build_core_if_loaded()
@@ -557,6 +439,7 @@
 void decider_service::stop()
 {
     is_stopped_ = true;
+    candidate_.stop();
     if (commit_queue_ != nullptr)
         commit_queue_->release();
 }
--- a/packages/scheduler/decider_service.hpp
+++ b/packages/scheduler/decider_service.hpp
@@ -6,6 +6,7 @@
 #include "rows/row_store.hpp"
 #include "rows/table_replica.hpp"
 #include "scheduler/commit_queue.hpp"
+#include "scheduler/lease_candidate.hpp"
 #include "scheduler/order_loader.hpp"
 #include "scheduler/pending_notices.hpp"
 #include "scheduler/scheduler_core.hpp"
@@ -68,7 +69,7 @@
 
     /// Tries to acquire the lease without waiting for it to expire. Called when
     /// the present decider cannot reach the store.
-    void take_over();
+    void take_over() { candidate_.take_over(); }
 
     /// Requests other entries to take over, if this process is the decider.
     void request_takeover();
@@ -80,7 +81,7 @@
     /// @return IP:PORT on which the decider receives notices; empty if unknown
     std::string const& decider_address() const
     {
-        return observed_lease_.address;
+        return candidate_.observed().address;
     }
 
     /// @return whether this process holds the lease, as far as it knows
@@ -93,25 +94,14 @@
     void on_lease_lost() override;
     /// Queues the changes of a round for writing, and the notices of them.
     void store_changes(std::vector<job_change> changes);
-    /// Records a change of the lease row. Claims the lease if it is vacant.
-    core::time_point acceptance_time(jobs::submission const& job) const;
     void observe_lease(rows::row const& changed);
-    lease_record read_lease(rows::row const& changed) const;
+    /// @return when a job was accepted, by the clock of this process
+    core::time_point acceptance_time(jobs::submission const& job) const;
     /// Runs a round or, if this process is not the decider, checks whether the
     /// lease is vacant or has expired.
     void on_tick();
-    /// @return whether the lease can be claimed without waiting
-    bool is_lease_vacant() const;
-    /// @param is_expiry_required whether to claim the lease only if it has
-    ///        expired; if not, it is claimed from its present holder
-    void reread_and_claim(bool is_expiry_required);
-    /// Claims the lease. Fails if its row has changed from the observed
-    /// version.
-    void try_acquire_lease();
-    void handle_claim_result(rows::commit_result const& result);
     /// Begins to load the orders and reports.
-    /// @param version of the lease row
-    void become_decider(rows::row_version version);
+    void become_decider(lease_candidate::acquisition const& acquired);
     /// Drops all state of the decider.
     void resign(std::string_view reason);
     /// Passes a stored report to the core.
@@ -143,16 +133,7 @@
     advice_service& advice_;
     options options_;
 
-    lease_record observed_lease_; ///< as last read
-    rows::row_version observed_lease_version_ = rows::no_row;
-    core::time_point lease_changed_at_{}; ///< when the change was observed
-    /// The lease to write; empty without an attempt to acquire it.
-    std::optional<lease_record> claim_;
-    /// The version of the lease row that the claim replaces.
-    rows::row_version claim_base_version_ = rows::no_row;
-    std::string previous_holder_; ///< of the claimed lease
-    bool is_acquiring_ = false;   ///< a claim is in flight
-    bool is_rereading_ = false;   ///< a read of the lease row is in flight
+    lease_candidate candidate_;
     bool is_stopped_ = false;
 
     // State of the decider; null or empty without the lease.
