--- a/packages/agents/run_tracker.hpp
+++ b/packages/agents/run_tracker.hpp
@@ -41,8 +41,8 @@
     enum class start_permission
     {
         granted,
-        /// The executor may have restarted under the same id; a start would
-        /// then reach the new incarnation. A snapshot tells.
+        /// The executor may have restarted under the same id, and a start would
+        /// reach the new incarnation. The next snapshot shows which one it is.
         incarnation_unconfirmed,
         /// No lease may be granted to the run.
         no_lease,
--- a/packages/core/codec.hpp
+++ b/packages/core/codec.hpp
@@ -103,9 +103,8 @@
     return found == object.end() ? fallback : found->template get<Value>();
 }
 
-/// @return the value of a field; `fallback` if the document is no object, or
-/// the
-///         field is missing, has another type or is out of range
+/// @return the value of a field; `fallback` if it is missing, has another type
+///         or is out of range, or if the document is no object
 template <class Value>
 Value valid_field_or(json const& document, char const* name, Value fallback)
 {
--- a/packages/programs/loss_report.cpp
+++ b/packages/programs/loss_report.cpp
@@ -6,7 +6,7 @@
 
 namespace {
 
-/// Waits that end later than this after an outage are not compared with it.
+/// The number of outages, and of hand-overs, with which waits are compared.
 constexpr std::size_t max_kept_intervals = 1000;
 /// Jobs that ended earlier than this many others are not recognised again.
 constexpr std::size_t max_closed_jobs = 10'000;
