--- /dev/null
+++ b/review/stand_ins/platform_store.hpp
@@ -0,0 +1,60 @@
+#pragma once
+
+#include "http.hpp"
+
+#include <atomic>
+#include <condition_variable>
+#include <cstdint>
+#include <map>
+#include <mutex>
+#include <string>
+#include <tuple>
+
+namespace review {
+
+/// The platform's store of rows, as its page describes it. It loses nothing,
+/// and answers each call.
+class platform_store
+{
+public:
+    /// Serves the calls on IP:PORT.
+    void start(std::string const& ip, std::uint16_t port);
+
+    /// Writes a row as the operator does.
+    void put(std::string const& table, std::string const& key,
+             std::string const& value);
+
+    /// While the store is down, it refuses all calls with 503, and does
+    /// nothing.
+    void set_down(bool is_down) { is_down_ = is_down; }
+
+    /// @return the decoded value of a row; empty if there is none
+    std::string value_of(std::string const& table, std::string const& part,
+                         std::string const& key);
+
+private:
+    using row_key = std::tuple<std::string, std::string, std::string>;
+
+    struct row
+    {
+        std::string value; ///< in Base64
+        std::uint64_t version = 0;
+        bool is_removed = false;
+    };
+
+    http_message handle(http_message const& request);
+    http_message commit(http_message const& request);
+    http_message get(http_message const& request);
+    http_message list_parts(http_message const& request);
+    http_message feed(http_message const& request);
+
+    std::atomic<bool> is_down_{false};
+    std::mutex mutex_;
+    std::condition_variable changed_;
+    std::map<row_key, row> rows_;
+    std::uint64_t version_ = 1;
+    std::mutex parts_mutex_;
+    std::map<std::string, std::mutex> part_locks_;
+};
+
+} // namespace review
