--- a/review/stand_ins/case_main.cpp
+++ b/review/stand_ins/case_main.cpp
@@ -301,6 +301,51 @@
     return conclude(run, offences);
 }
 
+/// An entry that the store turns away relays a job to a frozen entry first, and
+/// then to another one, which refuses the customer's key.
+int run_relayed_refusal(context& run)
+{
+    constexpr std::int64_t freeze_ms = 3500;
+    auto& site = run.create_site(small_deployment(2));
+    if (!site.start())
+        return fail_to_run(run, "the system did not become ready");
+    // The entry that registered last is the first to which calls are relayed.
+    auto const before = site.newest_entry();
+    wait_until(5000, [&] { return site.newest_entry() != before; });
+    sleep_ms(1500);
+    auto const frozen = site.newest_entry();
+    auto const refused = (frozen + 1) % 3;
+    if (run.has_trouble) {
+        site.signal_entry(frozen, SIGSTOP);
+        site.set_entry_refused(refused, true);
+    }
+    auto const frozen_at = now_ms();
+    // By then the poll that the frozen entry had sent has been answered.
+    sleep_ms(1300);
+    site.revoke_second_key();
+    sleep_ms(500);
+    std::string const job = "b8b2c3d4e5f60718";
+    auto const status =
+        site.submit_once(refused, prefix, job,
+                         job_body("ms=1000", {{"Count", 1},
+                                              {"Cpu", 16000},
+                                              {"MemMb", 1000},
+                                              {"Gpu", 1},
+                                              {"EstimateMs", 1000}}));
+    if (run.has_trouble) {
+        sleep_ms(frozen_at + freeze_ms - now_ms());
+        site.signal_entry(frozen, SIGCONT);
+        sleep_ms(1500);
+        site.set_entry_refused(refused, false);
+    }
+    sleep_ms(6000);
+    std::vector<std::string> offences;
+    if (status / 100 == 4 && find_run(site, job + ".0.0.0"))
+        offences.push_back("the only attempt to hand the job in was answered " +
+                           std::to_string(status) + ", and its task ran");
+    return conclude(run, offences);
+}
+
 /// A job that needs whole executors waits beside tasks that last.
 int run_starvation(context& run)
 {
@@ -430,6 +475,7 @@
         {"gang_failure", review::run_gang_failure},
         {"small_tasks", review::run_small_tasks},
         {"wrong_estimate", review::run_wrong_estimate},
+        {"relayed_refusal", review::run_relayed_refusal},
         {"starvation", review::run_starvation}};
     auto const found = cases.find(arguments[1]);
     if (found == cases.end())
--- a/review/stand_ins/deployment.cpp
+++ b/review/stand_ins/deployment.cpp
@@ -20,6 +20,8 @@
 
 constexpr char host[] = "review.example";
 constexpr char key[] = "review-key";
+constexpr char second_key[] = "review-key-2";
+constexpr std::uint64_t first_version = 3;
 
 // The ports of a machine, counted from the first one.
 constexpr int customers_port = 0;
@@ -31,6 +33,11 @@
 constexpr int store_port = 6;
 constexpr int port_count = 7;
 
+std::string entry_name(std::size_t entry)
+{
+    return "entry-" + std::to_string(entry);
+}
+
 /// @return whether no process listens on the ports of a machine
 bool are_ports_free(std::string const& ip, std::uint16_t first_port)
 {
@@ -41,7 +48,8 @@
     return true;
 }
 
-json configuration(deployment::options const& settings)
+json configuration(deployment::options const& settings, std::uint64_t version,
+                   std::vector<std::string> const& keys)
 {
     json routes = json::array();
     for (auto const& queue : settings.queues) {
@@ -55,13 +63,13 @@
                           {"TargetRuntimeMs", 3000}});
     }
     return {
-        {"Version", 3},
+        {"Version", version},
         {"Routes", routes},
         {"Services",
          {{{"Name", settings.workers.service}, {"RejectsOverload", false}}}},
         {"Tenants",
          {{{"Name", "press"},
-           {"ApiKeys", {key}},
+           {"ApiKeys", keys},
            {"Guaranteed", {{"Gpu", 8}}}}}},
         {"Limits", {{"MaxBodyBytes", 262144}}}};
 }
@@ -153,14 +161,15 @@
     auto const address = [&](int port) {
         return ip(1, entry) + ":" + std::to_string(first_port_ + port);
     };
-    auto const name = "entry-" + std::to_string(entry);
+    auto const name = entry_name(entry);
     auto const settings = write_settings(
         name, "[process]\nnode = " + name +
                   "\n[listen]\ncustomers = " + address(customers_port) +
                   "\nreadiness = " + address(readiness_port) +
-                  "\nentries = " + address(notices_port) + "\nmetrics = " +
-                  address(metrics_port) + "\n[store]\naddress = " + ip(0, 0) +
-                  ":" + std::to_string(first_port_ + store_port) +
+                  "\nentries = " + address(notices_port) +
+                  "\nmetrics = " + address(metrics_port) +
+                  "\n[store]\naddress = " + ip(0, 1 + entry) + ":" +
+                  std::to_string(first_port_ + store_port) +
                   "\n[bounds]\nlease = 6000ms\nstop = 900ms\ngrace = 6s\n"
                   "state_kept = 120s\n");
     entries_[entry] = run_program({"target/packages/programs/sequoiaroute",
@@ -190,9 +199,13 @@
 
 bool deployment::start()
 {
-    store_.start(ip(0, 0),
-                 static_cast<std::uint16_t>(first_port_ + store_port));
-    store_.put("op", "config", configuration(options_).dump());
+    auto const port = static_cast<std::uint16_t>(first_port_ + store_port);
+    store_.start(ip(0, 0), port, "agents");
+    for (std::size_t entry = 0; entry < options_.entries; ++entry)
+        store_.start(ip(0, 1 + entry), port, entry_name(entry));
+    store_.put(
+        "op", "config",
+        configuration(options_, first_version, {key, second_key}).dump());
     entries_.resize(options_.entries, 0);
     agents_.resize(options_.agents, 0);
     for (std::size_t entry = 0; entry < options_.entries; ++entry)
@@ -282,6 +295,57 @@
     return dash == std::string::npos ? 0 : std::stoul(holder.substr(dash + 1));
 }
 
+void deployment::revoke_second_key()
+{
+    store_.put("op", "config",
+               configuration(options_, first_version + 2, {key}).dump());
+    record_.line("the operator took the second key away");
+}
+
+int deployment::submit_once(std::size_t entry, std::string const& prefix,
+                            std::string const& job, std::string const& body)
+{
+    http_message request;
+    request.method = "POST";
+    request.path = prefix + job;
+    request.headers = {{"Host", host},
+                       {"Authorization", std::string("Bearer ") + second_key},
+                       {"X-Deadline-Ms", "3000"}};
+    request.body = body;
+    record_.line(
+        fmt::format("client sends POST {} to entry-{}", request.path, entry));
+    auto const answer = call_http(
+        ip(1, entry), static_cast<std::uint16_t>(first_port_ + customers_port),
+        request, 3000);
+    record_.line(
+        fmt::format("client gets {} for POST {}", answer.status, request.path));
+    return answer.status;
+}
+
+std::size_t deployment::newest_entry()
+{
+    auto const newest = store_.newest_key("sequoiaroute-entries");
+    for (std::size_t entry = 0; entry < options_.entries; ++entry) {
+        if (newest.starts_with(ip(1, entry) + ":"))
+            return entry;
+    }
+    return options_.entries;
+}
+
+void deployment::set_entry_refused(std::size_t entry, bool is_refused)
+{
+    store_.set_refused(entry_name(entry), is_refused);
+    record_.line(fmt::format("the store {} entry-{}",
+                             is_refused ? "turns away" : "serves", entry));
+}
+
+void deployment::signal_entry(std::size_t entry, int signal_number)
+{
+    kill(entries_[entry], signal_number);
+    record_.line(
+        fmt::format("sent signal {} to entry-{}", signal_number, entry));
+}
+
 void deployment::kill_entry(std::size_t entry)
 {
     kill(entries_[entry], SIGKILL);
--- a/review/stand_ins/deployment.hpp
+++ b/review/stand_ins/deployment.hpp
@@ -49,6 +49,20 @@
     /// @return whether they were ready in time
     bool start();
 
+    /// Takes the second key of the customer away, with a new configuration.
+    void revoke_second_key();
+
+    /// Sends a job once, with the second key, to one entry.
+    /// @return the status of the answer; 0 if there was none
+    int submit_once(std::size_t entry, std::string const& prefix,
+                    std::string const& job, std::string const& body);
+
+    /// @return the entry that registered last in the store
+    std::size_t newest_entry();
+
+    /// Turns an entry away from the store, while others are served.
+    void set_entry_refused(std::size_t entry, bool is_refused);
+
     /// Submits a job and retries as a client does.
     /// @return the status of the last answer
     int submit(std::string const& prefix, std::string const& job,
@@ -63,6 +77,7 @@
 
     void kill_entry(std::size_t entry);
     void restart_entry(std::size_t entry);
+    void signal_entry(std::size_t entry, int signal_number);
     /// Sends a signal to the agent beside an executor.
     void signal_agent(std::size_t agent, int signal_number);
 
--- a/review/stand_ins/platform_store.cpp
+++ b/review/stand_ins/platform_store.cpp
@@ -17,6 +17,8 @@
 
 /// How long a transaction takes; a part handles them one after another.
 constexpr std::chrono::milliseconds transaction_time{4};
+/// How long an answer to another call takes.
+constexpr std::chrono::milliseconds read_time{4};
 constexpr std::size_t max_entries = 100;
 constexpr std::size_t max_rows = 500;
 constexpr std::size_t max_value_bytes = 65'536;
@@ -68,10 +70,43 @@
 
 } // namespace
 
-void platform_store::start(std::string const& ip, std::uint16_t port)
+void platform_store::start(std::string const& ip, std::uint16_t port,
+                           std::string machine)
 {
-    serve_http(ip, port,
-               [this](http_message const& request) { return handle(request); });
+    serve_http(
+        ip, port,
+        [this, machine = std::move(machine)](http_message const& request) {
+            return handle(machine, request);
+        });
+}
+
+void platform_store::set_refused(std::string const& machine, bool is_refused)
+{
+    std::lock_guard const lock(mutex_);
+    if (is_refused)
+        refused_machines_.insert(machine);
+    else
+        refused_machines_.erase(machine);
+    changed_.notify_all();
+}
+
+bool platform_store::is_refused(std::string const& machine) const
+{
+    return is_down_ || refused_machines_.contains(machine);
+}
+
+std::string platform_store::newest_key(std::string const& table)
+{
+    std::lock_guard const lock(mutex_);
+    std::string newest;
+    std::uint64_t version = 0;
+    for (auto const& [key, row] : rows_) {
+        if (std::get<0>(key) != table || row.version <= version)
+            continue;
+        newest = std::get<2>(key);
+        version = row.version;
+    }
+    return newest;
 }
 
 void platform_store::put(std::string const& table, std::string const& key,
@@ -93,18 +128,23 @@
     return from_base64(found->second.value);
 }
 
-http_message platform_store::handle(http_message const& request)
+http_message platform_store::handle(std::string const& machine,
+                                    http_message const& request)
 {
-    if (is_down_)
-        return json_response(503, "{}");
+    {
+        std::lock_guard const lock(mutex_);
+        if (is_refused(machine))
+            return json_response(503, "{}");
+    }
     if (request.path == "/sequoiaroute/rows-tx")
         return commit(request);
+    std::this_thread::sleep_for(read_time);
     if (request.path == "/sequoiaroute/rows-get")
         return get(request);
     if (request.path == "/sequoiaroute/rows-parts")
         return list_parts(request);
     if (request.path == "/sequoiaroute/rows-feed")
-        return feed(request);
+        return feed(machine, request);
     return json_response(404, "{}");
 }
 
@@ -235,7 +275,8 @@
                                   .dump());
 }
 
-http_message platform_store::feed(http_message const& request)
+http_message platform_store::feed(std::string const& machine,
+                                  http_message const& request)
 {
     auto const table = query_value(request.query, "Table");
     auto const after = std::stoull(query_value(request.query, "After"));
@@ -244,6 +285,8 @@
         std::chrono::steady_clock::now() + std::chrono::milliseconds(wait);
     std::unique_lock lock(mutex_);
     while (true) {
+        if (is_refused(machine))
+            return json_response(503, "{}");
         std::vector<std::pair<std::uint64_t, json>> changes;
         for (auto next = rows_.lower_bound({table, "", ""});
              next != rows_.end() && std::get<0>(next->first) == table; ++next) {
--- a/review/stand_ins/platform_store.hpp
+++ b/review/stand_ins/platform_store.hpp
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <mutex>
+#include <set>
 #include <string>
 #include <tuple>
 
@@ -17,8 +18,14 @@
 class platform_store
 {
 public:
-    /// Serves the calls on IP:PORT.
-    void start(std::string const& ip, std::uint16_t port);
+    /// Serves the calls of a machine on IP:PORT.
+    void start(std::string const& ip, std::uint16_t port, std::string machine);
+
+    /// Turns a machine away with 503, while others are served.
+    void set_refused(std::string const& machine, bool is_refused);
+
+    /// @return the key of the newest row of a table; empty if there is none
+    std::string newest_key(std::string const& table);
 
     /// Writes a row as the operator does.
     void put(std::string const& table, std::string const& key,
@@ -42,15 +49,18 @@
         bool is_removed = false;
     };
 
-    http_message handle(http_message const& request);
+    http_message handle(std::string const& machine,
+                        http_message const& request);
+    bool is_refused(std::string const& machine) const;
     http_message commit(http_message const& request);
     http_message get(http_message const& request);
     http_message list_parts(http_message const& request);
-    http_message feed(http_message const& request);
+    http_message feed(std::string const& machine, http_message const& request);
 
     std::atomic<bool> is_down_{false};
     std::mutex mutex_;
     std::condition_variable changed_;
+    std::set<std::string> refused_machines_;
     std::map<row_key, row> rows_;
     std::uint64_t version_ = 1;
     std::mutex parts_mutex_;
