--- a/review/stand_ins/case_main.cpp
+++ b/review/stand_ins/case_main.cpp
@@ -301,14 +301,14 @@
     return conclude(run, offences);
 }
 
-/// An entry that the store turns away relays a job to a frozen entry first, and
-/// then to another one, which refuses the customer's key.
-int run_relayed_refusal(context& run)
+/// Hands a job in once at an entry that the store turns away, while the entry
+/// to which it relays calls first is frozen and the customer's key is taken
+/// away.
+/// @return the offence; nullopt if the rule held
+std::optional<std::string> refuse_relayed_job(context& run, deployment& site,
+                                              std::string const& job)
 {
     constexpr std::int64_t freeze_ms = 3500;
-    auto& site = run.create_site(small_deployment(2));
-    if (!site.start())
-        return fail_to_run(run, "the system did not become ready");
     // The entry that registered last is the first to which calls are relayed.
     auto const before = site.newest_entry();
     wait_until(5000, [&] { return site.newest_entry() != before; });
@@ -322,9 +322,8 @@
     auto const frozen_at = now_ms();
     // By then the poll that the frozen entry had sent has been answered.
     sleep_ms(1300);
-    site.revoke_second_key();
+    site.set_second_key(false);
     sleep_ms(500);
-    std::string const job = "b8b2c3d4e5f60718";
     auto const status =
         site.submit_once(refused, prefix, job,
                          job_body("ms=1000", {{"Count", 1},
@@ -338,11 +337,28 @@
         sleep_ms(1500);
         site.set_entry_refused(refused, false);
     }
-    sleep_ms(6000);
-    std::vector<std::string> offences;
+    sleep_ms(4000);
     if (status / 100 == 4 && find_run(site, job + ".0.0.0"))
-        offences.push_back("the only attempt to hand the job in was answered " +
-                           std::to_string(status) + ", and its task ran");
+        return "the only attempt to hand job " + job + " in was answered " +
+               std::to_string(status) + ", and its task ran";
+    return std::nullopt;
+}
+
+/// The disruption comes up to five times.
+int run_relayed_refusal(context& run)
+{
+    constexpr int rounds = 5;
+    auto& site = run.create_site(small_deployment(2));
+    if (!site.start())
+        return fail_to_run(run, "the system did not become ready");
+    std::vector<std::string> offences;
+    for (int round = 0; round < rounds && offences.empty(); ++round) {
+        auto const job = "b8b2c3d4e5f6071" + std::to_string(round);
+        if (auto offence = refuse_relayed_job(run, site, job))
+            offences.push_back(std::move(*offence));
+        site.set_second_key(true);
+        sleep_ms(2000);
+    }
     return conclude(run, offences);
 }
 
--- a/review/stand_ins/deployment.cpp
+++ b/review/stand_ins/deployment.cpp
@@ -21,7 +21,6 @@
 constexpr char host[] = "review.example";
 constexpr char key[] = "review-key";
 constexpr char second_key[] = "review-key-2";
-constexpr std::uint64_t first_version = 3;
 
 // The ports of a machine, counted from the first one.
 constexpr int customers_port = 0;
@@ -205,7 +204,8 @@
         store_.start(ip(0, 1 + entry), port, entry_name(entry));
     store_.put(
         "op", "config",
-        configuration(options_, first_version, {key, second_key}).dump());
+        configuration(options_, configuration_version_, {key, second_key})
+            .dump());
     entries_.resize(options_.entries, 0);
     agents_.resize(options_.agents, 0);
     for (std::size_t entry = 0; entry < options_.entries; ++entry)
@@ -295,11 +295,16 @@
     return dash == std::string::npos ? 0 : std::stoul(holder.substr(dash + 1));
 }
 
-void deployment::revoke_second_key()
+void deployment::set_second_key(bool is_valid)
 {
+    configuration_version_ += 2;
+    std::vector<std::string> keys{key};
+    if (is_valid)
+        keys.emplace_back(second_key);
     store_.put("op", "config",
-               configuration(options_, first_version + 2, {key}).dump());
-    record_.line("the operator took the second key away");
+               configuration(options_, configuration_version_, keys).dump());
+    record_.line(is_valid ? "the operator added the second key"
+                          : "the operator took the second key away");
 }
 
 int deployment::submit_once(std::size_t entry, std::string const& prefix,
--- a/review/stand_ins/deployment.hpp
+++ b/review/stand_ins/deployment.hpp
@@ -49,8 +49,9 @@
     /// @return whether they were ready in time
     bool start();
 
-    /// Takes the second key of the customer away, with a new configuration.
-    void revoke_second_key();
+    /// Takes the second key of the customer away, or adds it again, with a new
+    /// configuration.
+    void set_second_key(bool is_valid);
 
     /// Sends a job once, with the second key, to one entry.
     /// @return the status of the answer; 0 if there was none
@@ -104,6 +105,7 @@
     std::string network_; ///< the first two numbers of the addresses
     std::uint16_t first_port_ = 0;
     std::uint16_t control_port_ = 0;
+    std::uint64_t configuration_version_ = 3;
     std::size_t next_entry_ = 0;
     std::vector<pid_t> entries_;
     std::vector<pid_t> agents_;
