agents: Start no run that was ordered in an earlier session

What callers saw: after several short outages of the store, tasks ran twice at the same time, and executors were given more than they have room for.

Cause: the decider takes the runs of a silent agent as ended, since their leases must have expired, and orders them elsewhere. The agent may hold orders that it has not carried out. As soon as one of its reports was stored it was allowed to extend leases again, and started them, though its orders were as old as the outage.

Ruled out: leases that expire too late, a second decider, late calls to the executor.

Change: an agent has a session, which its reports and the orders for it name. It ends once a stored report follows the one before it so late that the decider may have taken the agent as lost. Runs of an earlier session are not started. This holds as well for orders that the decider is still writing, and removals that it has decided on. The same for an executor that was taken as gone and returns, whose unanswered starts were sent again.

Why it works: the decider counts silence from the last stored report, and a session ends earlier than that silence does. A decider counts a session only once it is stored.

Tests, each failed without the check of the session: agent_service_test starts_nothing_ordered_before_a_long_silence, starts_nothing_ordered_before_a_report_came_late, starts_no_order_of_an_earlier_session, starts_no_earlier_order_when_its_executor_returns; decider_service_test accepts_new_sessions_only_from_the_store.

--- a/packages/agents/agent_service.cpp
+++ b/packages/agents/agent_service.cpp
@@ -34,6 +34,13 @@
 /// The same for an executor that drains, which cannot be starting.
 constexpr core::duration draining_refused_before_gone{200};
 
+/// @return whether a stored report was written in a session
+bool is_of_session(rows::row const& stored, std::string_view session)
+{
+    auto const report = jobs::decode_report(stored.value);
+    return core::is_ok(report) && core::value(report).session == session;
+}
+
 } // namespace
 
 agent_service::agent_service(rows::row_store& store,
@@ -48,7 +55,8 @@
            core::duration(0), rows::layout::order_prefix(options_.agent)},
           [this](rows::row const& changed) { receive_order(changed); },
           [this] { on_orders_updated(); }),
-      lease_(options_.timing), publish_delays_(retry_delay, max_publish_delay)
+      lease_(options_.timing), session_(options_.timing),
+      publish_delays_(retry_delay, max_publish_delay)
 {
 }
 
@@ -71,14 +79,30 @@
                         return;
                     }
                     record_store_time(page.store_time);
-                    if (!page.rows.empty()) {
-                        report_version_ = page.rows[0].version;
-                        current_report_ = page.rows[0].value;
-                    }
+                    if (!page.rows.empty())
+                        receive_previous_report(page.rows[0], page.store_time);
+                    if (session_.is_over(timers_.now()))
+                        begin_session("the agent has started");
+                    else
+                        tracker_.set_session(session_.id());
                     orders_.start();
                 });
 }
 
+void agent_service::receive_previous_report(rows::row const& stored,
+                                            core::duration store_time)
+{
+    report_version_ = stored.version;
+    current_report_ = stored.value;
+    auto decoded = jobs::decode_report(stored.value);
+    if (!core::is_ok(decoded))
+        return;
+    previous_report_ = core::value(std::move(decoded));
+    session_.resume(previous_report_->session,
+                    timers_.now() -
+                        (store_time - previous_report_->written_at));
+}
+
 void agent_service::receive_order(rows::row const& changed)
 {
     if (changed.is_removed) {
@@ -101,13 +125,10 @@
 {
     if (!is_serving_) {
         is_serving_ = true;
-        auto const known = jobs::decode_report(current_report_);
-        if (core::is_ok(known)) {
-            auto const& report = core::value(known);
-            previous_report_at_ = report.written_at;
+        if (previous_report_) {
             if (worker_.executor.id.empty())
-                update_executor(report.worker);
-            for (auto const& ended : report.ended)
+                update_executor(previous_report_->worker);
+            for (auto const& ended : previous_report_->ended)
                 tracker_.restore_end(ended);
         }
         infer_executor_from_orders();
@@ -406,6 +427,8 @@
     if (is_connection_refused || !lease_.has_expired(now))
         return;
     lease_.end();
+    // The executor may return, and the decider then has taken its runs as lost.
+    begin_session("the executor counts as gone");
     mark_executor_gone("silent until its lease expired");
     is_presumed_gone_ = true;
 }
@@ -444,12 +467,14 @@
     // The decider ignores reports that are older than the last one, which may
     // come from an earlier process of this agent.
     auto const written_at =
-        std::max(store_time, previous_report_at_ + core::duration(1));
+        previous_report_ ? std::max(store_time, previous_report_->written_at +
+                                                    core::duration(1))
+                         : store_time;
     auto running = tracker_.running();
     for (auto& task : running)
         task.share = throttle_.share_of(task.run);
-    return {options_.agent, written_at, worker_, std::move(running),
-            tracker_.ended()};
+    return {options_.agent,     written_at,       worker_,
+            std::move(running), tracker_.ended(), session_.id()};
 }
 
 void agent_service::publish_report_if_due()
@@ -464,8 +489,20 @@
         publish_report();
 }
 
+void agent_service::begin_session(std::string_view reason)
+{
+    session_.begin(timers_.now());
+    core::log_event("session_begun", {{"agent", options_.agent},
+                                      {"session", session_.id()},
+                                      {"reason", std::string(reason)}});
+    tracker_.set_session(session_.id());
+    is_report_outdated_ = true;
+}
+
 void agent_service::publish_report()
 {
+    if (session_.is_over(timers_.now()))
+        begin_session("no report was stored for too long");
     is_publishing_ = true;
     is_report_outdated_ = false;
     publishing_end_count_ = tracker_.end_count();
@@ -500,6 +537,8 @@
             report_version_ = row.version;
             // An earlier attempt took effect, but its answer was lost.
             is_written = row.value == current_report_;
+            if (!is_written && !is_of_session(row, session_.id()))
+                begin_session("another process has written the report");
         }
     }
     if (!is_written) {
@@ -518,6 +557,11 @@
         return;
     }
     publish_delays_.reset();
+    // The report may have been stored only after the decider has taken the
+    // agent as lost.
+    if (session_.is_over(timers_.now()))
+        begin_session("the report was stored too late");
+    session_.record_contact(started_at);
     lease_.record_store_contact(started_at);
     published_at_ = timers_.now();
     published_end_count_ = publishing_end_count_;
--- a/packages/agents/agent_service.hpp
+++ b/packages/agents/agent_service.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "agents/agent_session.hpp"
 #include "agents/end_acknowledgement.hpp"
 #include "agents/executor_lease.hpp"
 #include "agents/executor_runtime.hpp"
@@ -67,6 +68,8 @@
 
 private:
     void load_report();
+    void receive_previous_report(rows::row const& stored,
+                                 core::duration store_time);
     void receive_order(rows::row const& changed);
     void on_orders_updated();
     void advance_runs();
@@ -86,6 +89,9 @@
 
     void publish_report_if_due();
     void publish_report();
+    /// Begins a new session, since the decider may have taken the runs of the
+    /// present one as ended.
+    void begin_session(std::string_view reason);
     void notify_decider();
     void receive_publish_result(rows::commit_result const& result,
                                 end_position const& reported);
@@ -132,6 +138,7 @@
     rows::row_version report_version_ = rows::no_row;
     /// The report as it was last sent to the store, encoded.
     std::string current_report_;
+    agent_session session_;
     rows::latency_estimator store_latency_;
     core::backoff publish_delays_;
     bool is_publishing_ = false;
@@ -145,9 +152,8 @@
     /// The store's steady clock when it was last read.
     core::duration store_time_{0};
     core::time_point store_time_read_at_{};
-    /// When an earlier process of this agent wrote its last report, by the
-    /// store's clock.
-    core::duration previous_report_at_{0};
+    /// The last report of an earlier process of this agent, if there is one.
+    std::optional<jobs::worker_report> previous_report_;
 
     std::unique_ptr<event::timer> tick_timer_;
     std::unique_ptr<event::timer> load_timer_;
--- a/packages/agents/run_tracker.cpp
+++ b/packages/agents/run_tracker.cpp
@@ -20,6 +20,8 @@
     auto const run = order.run;
     auto const [found, is_new] = runs_.try_emplace(run);
     found->second.order = std::move(order);
+    if (found->second.order.session.empty())
+        found->second.order.session = session_;
     if (is_new) {
         found->second.may_have_started = may_have_started;
         found->second.awaits_snapshot = may_have_started;
@@ -38,6 +40,15 @@
         found->second.ended = std::move(ended);
 }
 
+void run_tracker::set_session(std::string session)
+{
+    session_ = std::move(session);
+    for (auto& [run, tracked] : runs_) {
+        if (!tracked.ended && !tracked.may_have_started && is_outdated(tracked))
+            end(tracked, jobs::run_end::stopped, {});
+    }
+}
+
 void run_tracker::set_executor(jobs::worker_description const& worker)
 {
     if (worker.executor != worker_.executor)
@@ -56,9 +67,15 @@
         ++urgent_end_count_;
 }
 
+bool run_tracker::is_outdated(tracked_run const& tracked) const
+{
+    return tracked.order.session != session_ && !tracked.running;
+}
+
 bool run_tracker::needs_stop(tracked_run const& tracked) const
 {
-    return tracked.order.is_stop_requested || tracked.is_start_abandoned;
+    return tracked.order.is_stop_requested || tracked.is_start_abandoned ||
+           is_outdated(tracked);
 }
 
 void run_tracker::receive_snapshot(executor_snapshot const& snapshot,
--- a/packages/agents/run_tracker.hpp
+++ b/packages/agents/run_tracker.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <string>
 #include <vector>
 
 namespace sequoiaroute::agents {
@@ -63,6 +64,12 @@
     /// have no order.
     void restore_end(jobs::ended_run ended);
 
+    /// Sets the session of the agent. Runs whose orders name another one are
+    /// not started any more; those that were not started before end as stopped.
+    /// Orders without a session count as of the session in which they arrive.
+    /// @param session the id of the session; not empty
+    void set_session(std::string session);
+
     /// Sets the executor's current incarnation and state. Runs are started only
     /// in state `ready`.
     void set_executor(jobs::worker_description const& worker);
@@ -138,11 +145,15 @@
 
     void end(tracked_run& tracked, jobs::run_end end_kind,
              std::string checkpoint);
+    /// @return whether the order is of an earlier session, and its run is not
+    ///         running
+    bool is_outdated(tracked_run const& tracked) const;
     bool needs_stop(tracked_run const& tracked) const;
     void receive_start_answer(tracked_run& tracked, order_reply const& reply,
                               core::time_point now);
 
     std::map<jobs::run_id, tracked_run> runs_;
+    std::string session_;
     jobs::worker_description worker_;
     std::vector<jobs::run_id> runs_without_order_;
     /// The ends in the last snapshot of runs that have no order. The decider
--- a/packages/jobs/lease_timing.cpp
+++ b/packages/jobs/lease_timing.cpp
@@ -43,9 +43,14 @@
         static_cast<double>(passed.count()) / max_clock_slowdown));
 }
 
+core::duration lease_timing::session_timeout() const
+{
+    return store_outage_tolerance() + max_time_to_stop();
+}
+
 core::duration lease_timing::lost_after() const
 {
-    return store_outage_tolerance() + max_time_to_stop() + max_report_delay;
+    return session_timeout() + max_report_delay;
 }
 
 } // namespace sequoiaroute::jobs
--- a/packages/jobs/lease_timing.hpp
+++ b/packages/jobs/lease_timing.hpp
@@ -31,8 +31,14 @@
     /// @return the least time that passes meanwhile on an executor's clock
     static core::duration least_executor_time(core::duration passed);
 
-    /// @return the time after the last report of an agent by which its worker
-    ///         has certainly stopped all runs
+    /// @return the time after the last report that an agent has sent and the
+    ///         store has kept by which its worker has certainly stopped all
+    ///         runs
+    core::duration session_timeout() const;
+
+    /// @return the age of the last report of an agent from which the decider
+    ///         takes the agent as lost and its runs as ended; longer than
+    ///         session_timeout() by the time that a report may take to arrive
     core::duration lost_after() const;
 };
 
--- a/packages/jobs/row_codec.cpp
+++ b/packages/jobs/row_codec.cpp
@@ -277,11 +277,14 @@
     json ended = json::array();
     for (auto const& task : value.ended)
         ended.push_back({to_json(task.run), name(task.end), task.checkpoint});
-    return dump({{"agent", value.agent},
-                 {"written_at_ms", value.written_at.count()},
-                 {"worker", to_json(value.worker)},
-                 {"running", std::move(running)},
-                 {"ended", std::move(ended)}});
+    json document{{"agent", value.agent},
+                  {"written_at_ms", value.written_at.count()},
+                  {"worker", to_json(value.worker)},
+                  {"running", std::move(running)},
+                  {"ended", std::move(ended)}};
+    if (!value.session.empty())
+        document["session"] = value.session;
+    return dump(document);
 }
 
 core::result<worker_report> decode_report(std::string_view text)
@@ -301,6 +304,7 @@
                                    parse_run_end(task.at(1).get<std::string>()),
                                    task.at(2)});
         }
+        value.session = document.value("session", "");
         return value;
     });
 }
@@ -323,6 +327,8 @@
         document["response_target_ms"] = value.response_target.count();
     if (value.is_filler)
         document["filler"] = true;
+    if (!value.session.empty())
+        document["session"] = value.session;
     return dump(document);
 }
 
@@ -341,6 +347,7 @@
         value.response_target =
             core::duration_field(document, "response_target_ms");
         value.is_filler = document.value("filler", false);
+        value.session = document.value("session", "");
         return value;
     });
 }
--- a/packages/jobs/worker_report.hpp
+++ b/packages/jobs/worker_report.hpp
@@ -107,6 +107,8 @@
     worker_description worker;
     std::vector<active_run> running;
     std::vector<ended_run> ended;
+    /// The agent's session; empty if it was written by an agent without them.
+    std::string session;
 
     bool operator==(worker_report const&) const = default;
 };
@@ -131,6 +133,9 @@
     /// fillers beside tasks that serve users.
     core::duration response_target{0};
     bool is_filler = false;
+    /// The session of the agent for which the run was placed. The agent starts
+    /// no run of an earlier session. Empty if the decider knew none.
+    std::string session;
 };
 
 } // namespace sequoiaroute::jobs
--- a/packages/scheduler/decider_service.cpp
+++ b/packages/scheduler/decider_service.cpp
@@ -264,12 +264,13 @@
                         {{"fault", core::failure(report).message}});
         return true;
     }
-    // A new incarnation of an executor counts only once the store has it, since
-    // the next decider knows only what is stored.
+    // A new incarnation of an executor, or session of its agent, counts only
+    // once the store has it, since the next decider knows only what is stored.
     auto const worker = core_->workers().find(core::value(report).agent);
     if (worker == core_->workers().end() ||
         worker->second.report.worker.executor !=
-            core::value(report).worker.executor)
+            core::value(report).worker.executor ||
+        worker->second.report.session != core::value(report).session)
         return true;
     core_->receive_report(core::value(std::move(report)), timers_.now());
     schedule_round();
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -504,7 +504,8 @@
     auto& job = jobs_.at(task.job_id);
     auto& task_progress = *find_task(job, task);
     task_progress.last_run = run;
-    auto const& executor = workers_.at(agent).report.worker.executor;
+    auto const& report = workers_.at(agent).report;
+    auto const& executor = report.worker.executor;
     auto const& step = step_of(job, task);
     jobs::run_order order{agent,
                           executor,
@@ -515,7 +516,8 @@
                           job.submission.parameters.is_urgent(),
                           "",
                           step.response_target,
-                          step.is_filler};
+                          step.is_filler,
+                          report.session};
     if (job.submission.parameters.needs_tickets()) {
         order.ticket =
             job.advice.at(step_key_of(task))
--- a/tests/agents/agent_service_test.cpp
+++ b/tests/agents/agent_service_test.cpp
@@ -139,10 +139,14 @@
         agent->receive_heartbeat(worker, ++sequence);
     }
 
-    jobs::run_order make_order(std::int32_t index) const
+    static jobs::run_order make_order(std::int32_t index)
     {
-        return {"a",   {"i-1", 1}, {{"j", 0, 0, index}, 1}, "p", "", false,
-                false, ""};
+        jobs::run_order order;
+        order.agent = "a";
+        order.executor = {"i-1", 1};
+        order.run = {{"j", 0, 0, index}, 1};
+        order.payload = "p";
+        return order;
     }
 
     void put_order(jobs::run_order const& order)
@@ -470,6 +474,106 @@
     EXPECT_TRUE(executor.running.contains(order.run));
 }
 
+// Guards against a task that runs twice: the agent was silent for so long that
+// the decider has ordered the run elsewhere, and the agent has not read the
+// removal of its order yet.
+TEST_F(agent_service_test, starts_nothing_ordered_before_a_long_silence)
+{
+    begin();
+    cut_store();
+    timers.advance(4s);
+    auto const order = make_order(0);
+    announce_order(order);
+    timers.advance(8s);
+    store.next_commits = memory_row_store::fault::none;
+    timers.advance(3s);
+    EXPECT_TRUE(executor.running.empty());
+    ASSERT_EQ(report().ended.size(), 1U);
+    EXPECT_EQ(report().ended[0].end, jobs::run_end::stopped);
+}
+
+// Guards against a task that runs twice: the report that ends a silence takes
+// effect only after the decider has taken the agent as lost.
+TEST_F(agent_service_test, starts_nothing_ordered_before_a_report_came_late)
+{
+    begin();
+    store.reads = memory_row_store::fault::refused;
+    store.next_commits = memory_row_store::fault::response_lost;
+    timers.advance(4s);
+    auto const order = make_order(0);
+    announce_order(order);
+    timers.advance(5s);
+    store.next_commits = memory_row_store::fault::silent;
+    timers.advance(4s);
+    EXPECT_TRUE(executor.running.empty());
+    store.next_commits = memory_row_store::fault::none;
+    timers.advance(3s);
+    EXPECT_TRUE(executor.running.empty());
+}
+
+// Guards against a task that runs twice: the decider has placed the run before
+// it took the agent as lost, but the order is stored and read only afterwards.
+TEST_F(agent_service_test, starts_no_order_of_an_earlier_session)
+{
+    begin();
+    auto const earlier = report().session;
+    cut_store();
+    timers.advance(12s);
+    store.next_commits = memory_row_store::fault::none;
+    store.reads = memory_row_store::fault::none;
+    timers.advance(1s);
+    ASSERT_NE(report().session, earlier);
+    auto order = make_order(0);
+    order.session = earlier;
+    put_order(order);
+    timers.advance(3s);
+    EXPECT_TRUE(executor.running.empty());
+    order = make_order(1);
+    order.session = report().session;
+    put_order(order);
+    timers.advance(1s);
+    EXPECT_TRUE(executor.running.contains(order.run));
+}
+
+// Guards against needless stops: a restart of the agent that the decider does
+// not notice does not end its session.
+TEST_F(agent_service_test, keeps_its_session_over_a_short_restart)
+{
+    begin();
+    auto const session = report().session;
+    agent.emplace(store, timers, executor, notices,
+                  agent_service::options{"a", {6s, 1s}});
+    begin();
+    EXPECT_EQ(report().session, session);
+    agent.reset();
+    timers.advance(11s);
+    agent.emplace(store, timers, executor, notices,
+                  agent_service::options{"a", {6s, 1s}});
+    begin();
+    EXPECT_NE(report().session, session);
+}
+
+// Guards against a task that runs twice: the agent has reported the runs of its
+// silent executor as lost, and the executor returns before the agent has read
+// that their orders are removed.
+TEST_F(agent_service_test, starts_no_earlier_order_when_its_executor_returns)
+{
+    begin();
+    executor.is_silent = true;
+    timers.advance(1600ms);
+    auto const order = make_order(0);
+    announce_order(order);
+    store.next_commits = memory_row_store::fault::refused;
+    while (!has_announced_end())
+        timers.advance(1ms);
+    executor.is_silent = false;
+    heartbeat(jobs::worker_state::ready);
+    store.next_commits = memory_row_store::fault::none;
+    timers.advance(2s);
+    EXPECT_EQ(report().worker.state, jobs::worker_state::ready);
+    EXPECT_TRUE(executor.running.empty());
+}
+
 // Guards against giving up a machine that was only silent for a while.
 TEST_F(agent_service_test, uses_an_executor_again_that_was_only_silent)
 {
--- a/tests/jobs/row_codec_test.cpp
+++ b/tests/jobs/row_codec_test.cpp
@@ -83,6 +83,7 @@
                      {"a", "r1"}};
     report.running = {{{{"j", 0, 1, 2}, 3}, "cp", 40, 16, core::duration(0)}};
     report.ended = {{{{"j", 0, 1, 3}, 1}, run_end::broken, ""}};
+    report.session = "s-1";
     auto const decoded = decode_report(encode(report));
     ASSERT_TRUE(core::is_ok(decoded));
     EXPECT_EQ(core::value(decoded), report);
@@ -97,12 +98,14 @@
     order.ticket = "t-7";
     order.response_target = core::duration(100);
     order.is_filler = true;
+    order.session = "s-1";
     auto const decoded_order = decode_order(encode(order));
     ASSERT_TRUE(core::is_ok(decoded_order));
     EXPECT_EQ(encode(core::value(decoded_order)), encode(order));
     EXPECT_EQ(core::value(decoded_order).ticket, "t-7");
     EXPECT_EQ(core::value(decoded_order).response_target, core::duration(100));
     EXPECT_TRUE(core::value(decoded_order).is_filler);
+    EXPECT_EQ(core::value(decoded_order).session, "s-1");
 }
 
 // Guards against a crash on an invalid row, which another program may have
--- a/tests/scheduler/decider_service_test.cpp
+++ b/tests/scheduler/decider_service_test.cpp
@@ -366,6 +366,26 @@
     EXPECT_EQ(core::value(jobs::decode_order(row->value)).executor.born_ms, 1);
 }
 
+// Guards against a task that runs twice: the next decider finds only the former
+// session in the store, and takes the agent as lost while it starts the run.
+TEST_F(decider_service_test, accepts_new_sessions_only_from_the_store)
+{
+    entry only(store, timers, "one");
+    add_worker("a");
+    timers.advance(1s);
+    add_worker("a");
+    timers.advance(50ms);
+    auto newer = support::make_worker_report("a");
+    newer.session = "s-2";
+    newer.written_at = timers.now().time_since_epoch();
+    EXPECT_TRUE(only.decider.receive_report(jobs::encode(newer)));
+    add_job("j");
+    timers.advance(100ms);
+    auto const row = order("j");
+    ASSERT_TRUE(row);
+    EXPECT_EQ(core::value(jobs::decode_order(row->value)).session, "");
+}
+
 // After the store has dropped its history, its reads are seconds old. Guards
 // against orders that a new decider does not see and issues again.
 TEST_F(decider_service_test, rereads_stale_pages_of_orders)
--- a/tests/scheduler/scheduler_core_test.cpp
+++ b/tests/scheduler/scheduler_core_test.cpp
@@ -192,6 +192,18 @@
     EXPECT_EQ(decide_starts().size(), 1U);
 }
 
+// Guards against an agent that starts no run, or one that was withdrawn, since
+// the order does not tell for which session it was placed.
+TEST_F(scheduler_core_test, names_the_session_of_the_agent_in_orders)
+{
+    add_worker("a");
+    auto report = reports_.at("a");
+    report.session = "s-2";
+    core_.receive_report(report, now_);
+    add_job("j", 1, 1);
+    EXPECT_EQ(decide_starts().at(0).session, "s-2");
+}
+
 TEST_F(scheduler_core_test, restarts_a_task_whose_executor_restarted)
 {
     add_worker("a");
