agents: Infer nothing from a list that lacks ends

Cause: an executor lists at most 500 ends at a time, and goes on when they are acknowledged, which waits for the store. The agent took a run in neither list as one that had not started, started it again, was told that it is old, stopped it, and reported it as refused. The end `done`, listed later, was dropped.

From another one the agent infers neither that a run has not started nor that a stop was carried out, and after a restart it waits for the next one before it sends a start again.

Tests, each failed before: run_tracker_test infers_nothing_from_a_list_without_all_ends, confirms_no_stop_from_a_list_without_all_ends, retries_no_start_before_all_ends_are_listed; executor_client marks_a_list_of_ends_that_may_be_cut.

--- a/packages/agents/executor_runtime.hpp
+++ b/packages/agents/executor_runtime.hpp
@@ -56,6 +56,10 @@
     std::int64_t clock_ms = 0; ///< the executor's clock in milliseconds
     std::vector<jobs::active_run> running;
     std::vector<unacknowledged_end> ended;
+    /// Whether `ended` has all unacknowledged ends. If not, the executor lists
+    /// the others once these are acknowledged, and a run that stands in neither
+    /// list may have ended.
+    bool has_all_ends = true;
 };
 
 /// Asynchronous interface to the executor that an agent manages.
--- a/packages/agents/run_tracker.cpp
+++ b/packages/agents/run_tracker.cpp
@@ -105,10 +105,14 @@
     if (snapshot.born_ms != worker_.executor.born_ms)
         return;
     for (auto& [run, tracked] : runs_) {
-        tracked.awaits_snapshot = false;
-        if (tracked.ended || listed.contains(run))
+        bool const is_listed = listed.contains(run);
+        if (is_listed || snapshot.has_all_ends)
+            tracked.awaits_snapshot = false;
+        if (tracked.ended || is_listed)
             continue;
         tracked.running.reset();
+        if (!snapshot.has_all_ends)
+            continue;
         if (tracked.stop_confirmed_at &&
             *tracked.stop_confirmed_at <= requested_at) {
             end(tracked,
--- a/tests/adapter/adapter_test.cpp
+++ b/tests/adapter/adapter_test.cpp
@@ -132,6 +132,7 @@
     EXPECT_EQ(lists.running.at(0).run, (jobs::run_id{{"5c0e", 0, 1, 17}, 2}));
     EXPECT_EQ(lists.ended.at(0).number, 58);
     EXPECT_EQ(lists.ended.at(0).task.end, jobs::run_end::broken);
+    EXPECT_TRUE(lists.has_all_ends);
     auto const body = json::parse(client.calls.at(0).body);
     EXPECT_EQ(
         body,
@@ -142,6 +143,30 @@
     EXPECT_FALSE(lists.is_ok);
 }
 
+// Guards against taking a run as never started whose end does not fit in the
+// list, of which an executor returns 500 at a time.
+TEST(executor_client, marks_a_list_of_ends_that_may_be_cut)
+{
+    scripted_client client;
+    executor_client executor(client, "10.0.0.1:1");
+    agents::executor_snapshot lists;
+    auto const poll = [&](std::int64_t count) {
+        json ended = json::array();
+        for (std::int64_t number = 1; number <= count; ++number)
+            ended.push_back({number, "5c0e.0.1.9", number, "done", ""});
+        json const body{{"ClockMs", 1},
+                        {"Running", json::array()},
+                        {"Finished", std::move(ended)}};
+        client.reply = make_reply(200, body.dump());
+        executor.poll(0, std::nullopt, 0ms,
+                      [&](auto const& received) { lists = received; });
+        return lists.has_all_ends;
+    };
+    EXPECT_TRUE(poll(499));
+    EXPECT_FALSE(poll(500));
+    EXPECT_EQ(lists.ended.size(), 500U);
+}
+
 // Guards against retrying an order that was refused permanently, and against
 // giving up one that may have been carried out.
 TEST(executor_client, distinguishes_replies_to_orders)
--- a/tests/agents/run_tracker_test.cpp
+++ b/tests/agents/run_tracker_test.cpp
@@ -94,6 +94,54 @@
     EXPECT_EQ(tracker.ended()[0].end, jobs::run_end::done);
 }
 
+// Guards against a task that runs twice: its run has ended, but more runs have
+// than the executor lists at once, and a start that is sent again is refused.
+TEST_F(run_tracker_test, infers_nothing_from_a_list_without_all_ends)
+{
+    auto cut = snapshot();
+    cut.has_all_ends = false;
+    tracker.put_order(order, false);
+    answer(next_action(), order_outcome::done);
+    tracker.receive_snapshot(cut, now + 1s);
+    EXPECT_TRUE(tracker.next_actions(now + 1s, permission::granted).empty());
+    EXPECT_TRUE(tracker.ended().empty());
+    tracker.receive_snapshot(snapshot_with_end(jobs::run_end::done), now + 2s);
+    ASSERT_EQ(tracker.ended().size(), 1U);
+    EXPECT_EQ(tracker.ended()[0].end, jobs::run_end::done);
+}
+
+// Guards against an end that is reported as a stop or a refusal, so that the
+// task runs again, although the run was done before it was to be stopped.
+TEST_F(run_tracker_test, confirms_no_stop_from_a_list_without_all_ends)
+{
+    auto cut = snapshot();
+    cut.has_all_ends = false;
+    tracker.put_order(order, false);
+    answer(next_action(), order_outcome::done);
+    order.is_stop_requested = true;
+    tracker.put_order(order, false);
+    answer(next_action(), order_outcome::done);
+    tracker.receive_snapshot(cut, now + 1s);
+    EXPECT_TRUE(tracker.ended().empty());
+    EXPECT_TRUE(tracker.needs_snapshot());
+    tracker.receive_snapshot(snapshot_with_end(jobs::run_end::done), now + 2s);
+    ASSERT_EQ(tracker.ended().size(), 1U);
+    EXPECT_EQ(tracker.ended()[0].end, jobs::run_end::done);
+}
+
+// Guards against a task that runs twice after a restart of the agent, if the
+// first list that it reads does not have all ends.
+TEST_F(run_tracker_test, retries_no_start_before_all_ends_are_listed)
+{
+    auto cut = snapshot();
+    cut.has_all_ends = false;
+    tracker.put_order(order, true);
+    tracker.receive_snapshot(cut, now);
+    EXPECT_TRUE(tracker.next_actions(now, permission::granted).empty());
+    tracker.receive_snapshot(snapshot(), now);
+    EXPECT_EQ(next_action().type, run_tracker::action::kind::start);
+}
+
 TEST_F(run_tracker_test, retries_an_unanswered_start)
 {
     tracker.put_order(order, false);
