scheduler: Store orders together with the progress that belongs to them

Cause: a change of more than 96 rows was divided by rows, with the progress of the job in the last transaction. A decider that took over in between found orders without progress. It dropped ends `done` of their runs, since it knew no such task, and ordered all tasks anew. In the same way it forgot ends whose orders were removed before the progress was stored.

Ruled out: late writes of the killed decider, which depend on the lease row, and stale reads of the next one, which reads orders as of its own lease or later.

Change: change_list divides the orders of a job into changes that fit in one transaction, each with the progress as of its orders. The commit queue never divides a change, and bounds its bytes. A restored order opens the occurrence of its task, for orders that an earlier version has stored without progress.

Why it works: after any prefix of the transactions, the stored progress has the effects of exactly the orders that are stored or removed.

Tests, which failed before: large_change_test orders_no_done_task_again_after_a_partial_start and orders_no_done_task_again_after_a_partial_removal.

--- a/packages/scheduler/commit_queue.cpp
+++ b/packages/scheduler/commit_queue.cpp
@@ -4,8 +4,9 @@
 #include "core/event_log.hpp"
 #include "jobs/row_codec.hpp"
 #include "rows/row_layout.hpp"
+#include "scheduler/change_list.hpp"
 
-#include <algorithm>
+#include <utility>
 
 namespace sequoiaroute::scheduler {
 
@@ -18,13 +19,8 @@
 constexpr std::size_t max_bytes_per_transaction = 600'000;
 constexpr core::duration retry_delay{120};
 
-std::size_t value_bytes(std::vector<rows::row_write> const& writes)
-{
-    std::size_t sum = 0;
-    for (auto const& write : writes)
-        sum += write.value.size();
-    return sum;
-}
+static_assert(max_orders_per_change < max_entries_per_transaction,
+              "a change with its progress fits in a transaction");
 
 } // namespace
 
@@ -75,48 +71,60 @@
         send_next();
 }
 
-void commit_queue::append(job_change const& change)
+std::size_t commit_queue::batch::bytes() const
+{
+    std::size_t sum = 0;
+    for (auto const& [key, value] : writes)
+        sum += value.size();
+    return sum;
+}
+
+bool commit_queue::batch::fits(batch const& other) const
 {
-    std::map<rows::row_key, rows::row_write> writes;
-    std::vector<rows::row_key> removals;
+    return writes.size() + removals.size() + other.writes.size() +
+                   other.removals.size() <=
+               max_entries_per_transaction &&
+           bytes() + other.bytes() <= max_bytes_per_transaction;
+}
+
+void commit_queue::batch::merge(batch other)
+{
+    for (auto const& key : other.removals)
+        writes.erase(key);
+    removals.merge(other.removals);
+    for (auto& [key, value] : other.writes)
+        writes.insert_or_assign(key, std::move(value));
+}
+
+commit_queue::batch commit_queue::make_batch(job_change const& change)
+{
+    batch rows;
     for (auto const& order : change.orders) {
         auto key = rows::layout::order_row(order.order.agent,
                                            to_text(order.order.run));
         if (order.action == order_change::action_type::remove) {
-            writes.erase(key);
-            removals.push_back(std::move(key));
+            rows.writes.erase(key);
+            rows.removals.insert(std::move(key));
         } else {
-            writes[key] = {key, jobs::encode(order.order)};
+            rows.writes.insert_or_assign(std::move(key), order.value);
         }
     }
-    if (change.is_retired) {
-        removals.push_back(rows::layout::progress_row(change.job_id));
-    } else {
-        auto key = rows::layout::progress_row(change.job_id);
-        writes[key] = {key, jobs::encode(change.progress)};
-    }
-    auto const is_full = [&](batch const& last_batch) {
-        return last_batch.writes.size() + last_batch.removals.size() >=
-                   max_entries_per_transaction ||
-               value_bytes(last_batch.writes) >= max_bytes_per_transaction;
-    };
-    // The orders of a gang should take effect together, so a change starts a
-    // new transaction if its rows exceed the entries left in the last one.
-    auto const size = writes.size() + removals.size();
-    if (pending_.empty() ||
-        pending_.back().writes.size() + pending_.back().removals.size() + size >
-            max_entries_per_transaction)
-        pending_.emplace_back();
-    for (auto& key : removals) {
-        if (is_full(pending_.back()))
-            pending_.emplace_back();
-        pending_.back().removals.push_back(std::move(key));
-    }
-    for (auto& [key, write] : writes) {
-        if (is_full(pending_.back()))
-            pending_.emplace_back();
-        pending_.back().writes.push_back(std::move(write));
-    }
+    auto key = rows::layout::progress_row(change.job_id);
+    if (change.is_retired)
+        rows.removals.insert(std::move(key));
+    else
+        rows.writes.insert_or_assign(std::move(key),
+                                     jobs::encode(change.progress));
+    return rows;
+}
+
+void commit_queue::append(job_change const& change)
+{
+    auto rows = make_batch(change);
+    if (!pending_.empty() && pending_.back().fits(rows))
+        pending_.back().merge(std::move(rows));
+    else
+        pending_.push_back(std::move(rows));
 }
 
 void commit_queue::renew()
@@ -147,9 +155,10 @@
     sent_lease_ = encode(lease_);
     transaction_ = {};
     transaction_.conditions.push_back({rows::layout::lease_row(), version_});
-    transaction_.writes = std::move(next.writes);
+    for (auto& [key, value] : next.writes)
+        transaction_.writes.push_back({key, std::move(value)});
     transaction_.writes.push_back({rows::layout::lease_row(), sent_lease_});
-    transaction_.removals = std::move(next.removals);
+    transaction_.removals.assign(next.removals.begin(), next.removals.end());
     in_flight_ = true;
     send();
 }
--- a/packages/scheduler/commit_queue.hpp
+++ b/packages/scheduler/commit_queue.hpp
@@ -7,8 +7,10 @@
 
 #include <cstdint>
 #include <deque>
+#include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <span>
 #include <string>
 #include <string_view>
@@ -81,9 +83,8 @@
                  lease_record lease, rows::row_version version,
                  commit_observer& observer);
 
-    /// Queues changes of jobs and begins to write them. Several changes share a
-    /// transaction if they fit; the change of one job is split only if it does
-    /// not.
+    /// Queues changes of jobs and begins to write them. A change is written in
+    /// one transaction, which several changes share if they fit.
     void push(std::span<job_change const> changes);
 
     /// Renews the lease by writing only its row. Does nothing during a write,
@@ -107,12 +108,19 @@
     }
 
 private:
+    /// The rows of one transaction, without the lease.
     struct batch
     {
-        std::vector<rows::row_write> writes;
-        std::vector<rows::row_key> removals;
+        std::map<rows::row_key, std::string> writes; ///< values by row
+        std::set<rows::row_key> removals;
+
+        std::size_t bytes() const; ///< of all values
+        bool fits(batch const& other) const;
+        /// Adds later changes.
+        void merge(batch other);
     };
 
+    static batch make_batch(job_change const& change);
     void append(job_change const& change);
     void send_next();
     void send();
--- a/packages/scheduler/group_builder.hpp
+++ b/packages/scheduler/group_builder.hpp
@@ -15,7 +15,6 @@
 
 namespace sequoiaroute::scheduler {
 
-using job_map = std::map<std::string, open_job>;       ///< by job id
 using worker_map = std::map<std::string, worker_view>; ///< by agent
 
 /// Waiting tasks of one step, and the group that represents them in placement.
--- a/packages/scheduler/open_job.hpp
+++ b/packages/scheduler/open_job.hpp
@@ -72,6 +72,8 @@
     std::optional<core::time_point> finished_at;
 };
 
+using job_map = std::map<std::string, open_job>; ///< by job id
+
 /// A change of an order.
 struct order_change
 {
@@ -85,9 +87,11 @@
     action_type action = action_type::start;
     jobs::run_order order;
     std::string reason; ///< of a stop; for a removal, the end of the run
+    std::string value;  ///< the row of the order; empty for a removal
 };
 
-/// The changes of one job in a round, to be stored together.
+/// Changes of one job in a round, to be stored in one transaction. The progress
+/// has all effects of the orders, and of none that belongs to a later change.
 struct job_change
 {
     std::string job_id;
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -79,10 +79,27 @@
     auto const task = order.run.task;
     if (static_cast<std::size_t>(task.step) >= job.submission.spec.steps.size())
         return;
+    restore_run_number(job, order.run);
     add_assignment(job, std::move(order), now);
     job.assignments.at(task).is_restored = true;
 }
 
+/// An earlier version of the decider stored orders before the progress that
+/// belongs to them. The end of such a run counts, and its number is not used
+/// again.
+void scheduler_core::restore_run_number(open_job& job, jobs::run_id const& run)
+{
+    auto const occurrence = run.task.occurrence;
+    auto const& spec = job.submission.spec;
+    if (occurrence < 0 || occurrence >= spec.occurrences() ||
+        jobs::is_final(job.progress.state) ||
+        job.progress.finished_occurrences.contains(occurrence))
+        return;
+    job.progress.occurrences.try_emplace(occurrence, make_occurrence(spec));
+    if (auto* const task = find_task(job, run.task); task != nullptr)
+        task->last_run = std::max(task->last_run, run.run);
+}
+
 void scheduler_core::add_assignment(open_job& job, jobs::run_order order,
                                     core::time_point now)
 {
@@ -225,12 +242,7 @@
     for (auto& [id, job] : jobs_)
         update_state(job, time.now);
     remove_expired_jobs(time.now);
-    auto changes = changes_.take_changes();
-    for (auto& change : changes) {
-        if (!change.is_retired)
-            change.progress = jobs_.at(change.job_id).progress;
-    }
-    return changes;
+    return changes_.take_changes(jobs_);
 }
 
 void scheduler_core::record_lapsed_runs(decision_time const& time)
@@ -478,6 +490,7 @@
     if (tasks.group.is_gang) {
         for (auto const& task : tasks.tasks)
             gang_run = std::max(gang_run, find_task(job, task)->last_run + 1);
+        changes_.keep_together(job, agents.size());
     }
     for (std::size_t index = 0; index < agents.size(); ++index) {
         auto const& task = tasks.tasks[index];
@@ -502,8 +515,6 @@
                                 core::time_point now)
 {
     auto& job = jobs_.at(task.job_id);
-    auto& task_progress = *find_task(job, task);
-    task_progress.last_run = run;
     auto const& report = workers_.at(agent).report;
     auto const& executor = report.worker.executor;
     auto const& step = step_of(job, task);
@@ -524,8 +535,9 @@
                 .ticket(executor.id, earliest_usable_ticket_time(job, now))
                 .value_or("");
     }
-    job.progress.has_started = true;
     changes_.add_order(job, order_change::action_type::start, order, {});
+    job.progress.has_started = true;
+    find_task(job, task)->last_run = run;
     add_assignment(job, std::move(order), now);
 }
 
--- a/packages/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/scheduler_core.hpp
@@ -163,6 +163,7 @@
     /// Orders the runs of tasks on the agents on which they were placed.
     void start_group(waiting_tasks const& tasks,
                      std::span<std::string const> agents, core::time_point now);
+    void restore_run_number(open_job& job, jobs::run_id const& run);
     /// Adds the run of a new or restored order.
     void add_assignment(open_job& job, jobs::run_order order,
                         core::time_point now);
--- a/tests/scheduler/decider_service_test.cpp
+++ b/tests/scheduler/decider_service_test.cpp
@@ -259,6 +259,130 @@
     EXPECT_FALSE(order("j", 2));
 }
 
+/// A decider that ends while it writes a change of more rows than a transaction
+/// holds, and the next one.
+class large_change_test : public decider_service_test
+{
+public:
+    static constexpr std::int32_t task_count = 150;
+
+    large_change_test()
+    {
+        first = std::make_unique<entry>(store, timers, "one");
+        report = support::make_worker_report("a");
+        report.worker.capacity = {1'000'000, 1'000'000, 1000};
+        put_report();
+        jobs::submission job;
+        job.job_id = "j";
+        job.parameters = {"q", "s", 1, 2, 3, 1s};
+        job.spec.steps.resize(1);
+        job.spec.steps[0].task_count = task_count;
+        job.spec.steps[0].task = {1000, 1000, 1};
+        store.put(rows::layout::job_row("j"), jobs::encode(job));
+    }
+
+    void put_report()
+    {
+        report.written_at = timers.now().time_since_epoch();
+        store.put(rows::layout::report_row("a"), jobs::encode(report));
+    }
+
+    static jobs::run_id run_of(std::int32_t index, std::int64_t number = 1)
+    {
+        return {{"j", 0, 0, index}, number};
+    }
+
+    /// @return the runs that an agent is ordered to start
+    std::vector<jobs::run_id> stored_orders(std::string const& agent) const
+    {
+        std::vector<jobs::run_id> stored;
+        for (std::int32_t index = 0; index < task_count; ++index) {
+            for (std::int64_t number = 1; number <= 2; ++number) {
+                auto const run = run_of(index, number);
+                if (store.find(rows::layout::order_row(agent, to_text(run))))
+                    stored.push_back(run);
+            }
+        }
+        return stored;
+    }
+
+    /// Advances the time until only some orders are stored.
+    void wait_for_partial_write()
+    {
+        auto const is_partial = [this] {
+            auto const count = stored_orders("a").size();
+            return count > 0 && count < task_count;
+        };
+        for (int step = 0; step < 10'000 && !is_partial(); ++step)
+            timers.advance(1ms);
+        ASSERT_TRUE(is_partial());
+    }
+
+    /// Lets the agent report these runs as done.
+    void report_done(std::vector<jobs::run_id> const& runs)
+    {
+        report.ended.clear();
+        for (auto const& run : runs)
+            report.ended.push_back({run, jobs::run_end::done, ""});
+        put_report();
+    }
+
+    /// Lets the agents report for a while. The first one drops ends whose
+    /// orders are gone, and starts nothing more.
+    void wait_for_takeover()
+    {
+        report.worker.state = jobs::worker_state::draining;
+        report.worker.remaining = 1h;
+        auto idle = support::make_worker_report("b");
+        idle.worker.capacity = report.worker.capacity;
+        for (int step = 0; step < 20; ++step) {
+            timers.advance(200ms);
+            std::erase_if(report.ended, [this](auto const& ended) {
+                return !store.find(
+                    rows::layout::order_row("a", to_text(ended.run)));
+            });
+            put_report();
+            idle.written_at = report.written_at;
+            store.put(rows::layout::report_row("b"), jobs::encode(idle));
+        }
+    }
+
+    std::unique_ptr<entry> first;
+    jobs::worker_report report;
+};
+
+// Guards against tasks that run twice: the decider ends after it has stored
+// some of the orders of a large job, and their runs end before the takeover.
+TEST_F(large_change_test, orders_no_done_task_again_after_a_partial_start)
+{
+    wait_for_partial_write();
+    first.reset();
+    auto const ordered = stored_orders("a");
+    report_done(ordered);
+    entry second(store, timers, "two");
+    wait_for_takeover();
+    ASSERT_TRUE(second.decider.is_decider());
+    EXPECT_TRUE(stored_orders("a").empty());
+    EXPECT_EQ(stored_orders("b").size(), task_count - ordered.size());
+}
+
+// Guards against tasks that run twice: the decider ends after it has removed
+// some of the orders of runs that were done.
+TEST_F(large_change_test, orders_no_done_task_again_after_a_partial_removal)
+{
+    for (int step = 0; step < 1000 && stored_orders("a").size() < task_count;
+         ++step)
+        timers.advance(1ms);
+    report_done(stored_orders("a"));
+    wait_for_partial_write();
+    first.reset();
+    report_done(stored_orders("a"));
+    entry second(store, timers, "two");
+    wait_for_takeover();
+    ASSERT_TRUE(second.decider.is_decider());
+    EXPECT_TRUE(stored_orders("b").empty());
+}
+
 // Guards against urgent work that is delayed while the feeds of the store are
 // silent for a second.
 TEST_F(decider_service_test, sends_notices_of_urgent_orders_and_final_states)
--- a/tests/scheduler/pending_notices_test.cpp
+++ b/tests/scheduler/pending_notices_test.cpp
@@ -17,7 +17,7 @@
     jobs::run_order order;
     order.run = {{"j", 0, 0, 0}, 1};
     order.agent = "10.0.0.9";
-    change.orders.push_back({action, order, "test"});
+    change.orders.push_back({action, order, "test", "text"});
     return change;
 }
 
