gateway: Report no refusal of a call that a peer may still apply

Cause: an entry that the store turns away relays a call to a peer. If that one does not answer, it asks the next, and handed on its answer, though the first may still carry the call out by older rules, in which the key or the queue exists.

Ruled out: a retry of the customer, since there was one request, and the store, which applied one transaction for the job.

Change: after a peer that may have applied a submission or cancellation, only an answer that settles it is handed on: accepted, cancelled, or that there is no such job. Otherwise the outcome is unknown (504). Reads have no effect, so any answer to them is handed on as before.

Tests: peer_relay_test reports_no_refusal_of_a_call_that_may_be_applied failed before, for all four refusals; reports_what_another_peer_has_applied and reports_a_refusal_after_a_refused_connection keep answers that are certain.

--- a/packages/gateway/peer_relay.hpp
+++ b/packages/gateway/peer_relay.hpp
@@ -28,8 +28,8 @@
 
 /// Relays calls to other entries while the store refuses or does not answer
 /// this one; it may serve some machines and refuse others. Peers are tried one
-/// after the other. If none accepts the call, but one may have applied it, the
-/// outcome is `unknown`.
+/// after the other. If one may have applied a submission or cancellation and no
+/// other one applies it, the outcome is `unknown`.
 class peer_relay final : public call_relay
 {
 public:
@@ -46,9 +46,11 @@
     /// A call that is being relayed.
     struct relay_attempt
     {
+        call_kind kind = call_kind::read;
         std::string body;               ///< the encoded call
         std::vector<std::string> peers; ///< peers not tried yet
-        /// A peer gave no usable answer and did not refuse the connection.
+        /// A peer gave no usable answer and did not refuse the connection. It
+        /// may still carry the call out, by its own rules.
         bool may_have_been_applied = false;
         callback done;
     };
--- a/tests/gateway/peer_relay_test.cpp
+++ b/tests/gateway/peer_relay_test.cpp
@@ -50,10 +50,12 @@
     }
 
     /// @return the outcome, or nothing if no peer accepted the call
-    std::optional<call_outcome> relay_call()
+    std::optional<call_outcome> relay_call(call_kind kind = call_kind::submit)
     {
         std::optional<customer_reply> received;
-        relay.relay({}, [&](auto const& reply) { received = reply; });
+        customer_call call;
+        call.kind = kind;
+        relay.relay(call, [&](auto const& reply) { received = reply; });
         if (!received)
             return std::nullopt;
         return received->outcome;
@@ -92,5 +94,40 @@
     EXPECT_EQ(relay_call(), call_outcome::unknown);
 }
 
+// Guards against a job that was refused and runs: the peer that did not answer
+// still has the key or the queue in its rules, and stores the job later.
+TEST_F(peer_relay_test, reports_no_refusal_of_a_call_that_may_be_applied)
+{
+    peers.replies["10.0.0.3:7000"] = {0, false, ""};
+    for (auto const refusal :
+         {call_outcome::unauthorized, call_outcome::no_queue,
+          call_outcome::bad_request, call_outcome::too_large}) {
+        peers.replies["10.0.0.2:7000"] = answer(refusal);
+        EXPECT_EQ(relay_call(), call_outcome::unknown);
+        EXPECT_EQ(relay_call(call_kind::cancel), call_outcome::unknown);
+        EXPECT_EQ(relay_call(call_kind::read), refusal);
+    }
+}
+
+// Guards against an answer that tells less than is known: another peer has
+// carried the call out, or the job does not exist.
+TEST_F(peer_relay_test, reports_what_another_peer_has_applied)
+{
+    peers.replies["10.0.0.3:7000"] = {0, false, ""};
+    peers.replies["10.0.0.2:7000"] = answer(call_outcome::accepted);
+    EXPECT_EQ(relay_call(), call_outcome::accepted);
+    peers.replies["10.0.0.2:7000"] = answer(call_outcome::no_job);
+    EXPECT_EQ(relay_call(call_kind::cancel), call_outcome::no_job);
+}
+
+// Guards against a refusal that is withheld although no peer can apply the
+// call.
+TEST_F(peer_relay_test, reports_a_refusal_after_a_refused_connection)
+{
+    peers.replies["10.0.0.3:7000"] = {0, true, ""};
+    peers.replies["10.0.0.2:7000"] = answer(call_outcome::unauthorized);
+    EXPECT_EQ(relay_call(), call_outcome::unauthorized);
+}
+
 } // namespace
 } // namespace sequoiaroute::gateway
