agents, rows: Date reports by the best answers of the store

Cause: an agent dates its reports by the store's clock, which it took from the last answer as if that had arrived at once. After an answer that was held back, reports seemed older than they were by as much.

Change: rows/store_clock takes each answer as a bound, since the store has read its clock between the call and the answer, and changes its estimate only as far as an answer contradicts it. The times of an agent's reports always increase.

Result: store_clock.is_not_set_back_by_a_delayed_answer; an estimate that takes the last answer, as before, gives 8,000 ms instead of 10,990 ms there.

--- a/packages/agents/agent_service.cpp
+++ b/packages/agents/agent_service.cpp
@@ -70,7 +70,7 @@
     auto const key = rows::layout::report_row(options_.agent);
     std::weak_ptr<bool> const alive = alive_;
     store_.read(rows::layout::single_row_range(key),
-                [this, alive](rows::page const& page) {
+                [this, alive, sent_at = timers_.now()](rows::page const& page) {
                     if (alive.expired())
                         return;
                     if (!page.is_ok) {
@@ -78,7 +78,7 @@
                                                     [this] { load_report(); });
                         return;
                     }
-                    record_store_time(page.store_time);
+                    record_store_time(page.store_time, sent_at);
                     if (!page.rows.empty())
                         receive_previous_report(page.rows[0], page.store_time);
                     if (session_.is_over(timers_.now()))
@@ -98,6 +98,7 @@
     if (!core::is_ok(decoded))
         return;
     previous_report_ = core::value(std::move(decoded));
+    written_at_ = previous_report_->written_at;
     session_.resume(previous_report_->session,
                     timers_.now() -
                         (store_time - previous_report_->written_at));
@@ -317,12 +318,11 @@
         runtime_.start(action.order, *lease_end_ms, on_reply);
 }
 
-void agent_service::record_store_time(core::duration store_time)
+void agent_service::record_store_time(core::duration store_time,
+                                      core::time_point sent_at)
 {
-    if (store_time == core::duration(0))
-        return;
-    store_time_ = store_time;
-    store_time_read_at_ = timers_.now();
+    if (store_time != core::duration(0))
+        store_clock_.record(store_time, sent_at, timers_.now());
 }
 
 void agent_service::poll_executor()
@@ -461,19 +461,16 @@
     }
 }
 
-jobs::worker_report agent_service::make_report() const
+jobs::worker_report agent_service::make_report()
 {
-    auto const store_time = store_time_ + (timers_.now() - store_time_read_at_);
     // The decider ignores reports that are older than the last one, which may
     // come from an earlier process of this agent.
-    auto const written_at =
-        previous_report_ ? std::max(store_time, previous_report_->written_at +
-                                                    core::duration(1))
-                         : store_time;
+    written_at_ = std::max(store_clock_.time(timers_.now()),
+                           written_at_ + core::duration(1));
     auto running = tracker_.running();
     for (auto& task : running)
         task.share = throttle_.share_of(task.run);
-    return {options_.agent,     written_at,       worker_,
+    return {options_.agent,     written_at_,      worker_,
             std::move(running), tracker_.ended(), session_.id()};
 }
 
@@ -525,8 +522,8 @@
                                            end_position const& reported)
 {
     is_publishing_ = false;
-    record_store_time(result.store_time);
     auto const started_at = publish_started_at_;
+    record_store_time(result.store_time, started_at);
     store_latency_.record(result.outcome, timers_.now() - started_at);
     bool is_written = result.outcome == rows::commit_outcome::committed;
     if (is_written)
--- a/packages/agents/agent_service.hpp
+++ b/packages/agents/agent_service.hpp
@@ -12,6 +12,7 @@
 #include "notices/notice_sender.hpp"
 #include "rows/latency_estimator.hpp"
 #include "rows/row_store.hpp"
+#include "rows/store_clock.hpp"
 #include "rows/table_replica.hpp"
 
 #include <map>
@@ -95,8 +96,8 @@
     void notify_decider();
     void receive_publish_result(rows::commit_result const& result,
                                 end_position const& reported);
-    jobs::worker_report make_report() const;
-    void record_store_time(core::duration store_time);
+    jobs::worker_report make_report();
+    void record_store_time(core::duration store_time, core::time_point sent_at);
 
     rows::row_store& store_;
     event::timer_service& timers_;
@@ -149,9 +150,9 @@
     std::uint64_t publishing_end_count_ = 0;
     core::time_point published_at_{};
     core::time_point publish_started_at_{};
-    /// The store's steady clock when it was last read.
-    core::duration store_time_{0};
-    core::time_point store_time_read_at_{};
+    rows::store_clock store_clock_;
+    /// The time of the last report, by the store's clock.
+    core::duration written_at_{0};
     /// The last report of an earlier process of this agent, if there is one.
     std::optional<jobs::worker_report> previous_report_;
 
--- /dev/null
+++ b/packages/rows/store_clock.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "core/clock.hpp"
+
+#include <optional>
+
+namespace sequoiaroute::rows {
+
+/// Estimates the current time of the store's steady clock from its answers. An
+/// answer may arrive long after the store has read its clock, so it only bounds
+/// that time: the clock was read after the call was sent and before the answer
+/// arrived.
+class store_clock
+{
+public:
+    /// Adds an answer of the store. The estimate changes only as far as the
+    /// answer contradicts it.
+    /// @param store_time the time in the answer
+    /// @param sent_at when the call was sent
+    /// @param received_at when the answer arrived
+    void record(core::duration store_time, core::time_point sent_at,
+                core::time_point received_at);
+
+    /// @return whether an answer was recorded
+    bool is_known() const { return offset_.has_value(); }
+
+    /// @return the estimated time of the store's clock; zero if it is not known
+    core::duration time(core::time_point now) const;
+
+private:
+    /// The store's time minus the time of this process since its epoch.
+    std::optional<core::duration> offset_;
+};
+
+} // namespace sequoiaroute::rows
--- /dev/null
+++ b/tests/rows/store_clock_test.cpp
@@ -0,0 +1,35 @@
+#include "rows/store_clock.hpp"
+
+#include <gtest/gtest.h>
+
+namespace sequoiaroute::rows {
+namespace {
+
+using namespace std::chrono_literals;
+
+// Guards against a time that lags by as much as one answer was delayed: reports
+// would seem to be older than they are.
+TEST(store_clock, is_not_set_back_by_a_delayed_answer)
+{
+    core::time_point const start{100s};
+    store_clock clock;
+    EXPECT_FALSE(clock.is_known());
+    clock.record(7000ms, start, start + 10ms);
+    EXPECT_EQ(clock.time(start + 10ms), 7000ms);
+    clock.record(8000ms, start + 1s, start + 4s);
+    EXPECT_EQ(clock.time(start + 4s), 10'990ms);
+}
+
+TEST(store_clock, is_corrected_by_an_answer_that_contradicts_it)
+{
+    core::time_point const start{100s};
+    store_clock clock;
+    clock.record(7000ms, start, start + 3s);
+    clock.record(10'500ms, start + 3s, start + 3s + 10ms);
+    EXPECT_EQ(clock.time(start + 3s + 10ms), 10'500ms);
+    clock.record(11'000ms, start + 4s, start + 4s + 10ms);
+    EXPECT_EQ(clock.time(start + 4s + 10ms), 11'010ms);
+}
+
+} // namespace
+} // namespace sequoiaroute::rows
