soak: Add outages of the store in quick succession, leases and wide jobs

Cause: the users saw tasks that ran twice and overcommitted machines with real processes; the soak did not bring that about. Its leases of 2 s let agents work through any outage that it makes, and its jobs have at most eight tasks.

Without these flags the runs are as before.

The check of ends is narrowed as the platform's rules say it: an end "is taken note of when AckedUpto reaches it, unless the executor's lease lapsed between the two". The executor's model marks the ends that it lists when its lease expires; all others are checked as before.

--- a/tests/soak/customer_simulator.hpp
+++ b/tests/soak/customer_simulator.hpp
@@ -49,10 +49,15 @@
     bool are_all_final() const;
 
     std::string key = "key-1"; ///< authenticates the customers
+    /// The share of jobs with more tasks than a transaction of the store has
+    /// entries, and than an executor lists ends at once.
+    double wide_job_probability = 0;
 
 private:
     /// Creates a random job and submits it.
     void submit();
+    void submit_wide_job();
+    std::string next_job_id();
     /// Submits a job, and retries after a delay unless it was accepted.
     /// @param path the path of the job, which ends with its id
     /// @param body the job
--- a/tests/soak/executor_model.hpp
+++ b/tests/soak/executor_model.hpp
@@ -65,6 +65,9 @@
         std::int64_t number = 0; ///< increases within an incarnation
         jobs::run_id run;
         jobs::run_end outcome = jobs::run_end::done;
+        /// The lease has expired since. The decider then may have taken the
+        /// run as lapsed, so its acknowledgement does not bind.
+        bool has_lapsed = false;
     };
 
     struct running_run
@@ -128,6 +131,9 @@
     using run_map = std::map<jobs::run_id, running_run>;
 
     void end(run_map::iterator run, jobs::run_end outcome);
+    /// Marks the listed ends if the lease has expired.
+    /// @return whether it has
+    bool check_lease();
     void advance_run(run_map::iterator run, core::duration passed);
     /// Ends a run whose gang is incomplete, if a member has ended or did not
     /// start in time.
--- a/tests/soak/invariant_checker.hpp
+++ b/tests/soak/invariant_checker.hpp
@@ -20,6 +20,7 @@
     /// The number of tasks of each step; each step depends on the one before.
     std::vector<std::int32_t> step_sizes;
     bool is_gang = false; ///< whether the tasks of each step are a gang
+    bool is_wide = false; ///< whether it has hundreds of tasks
     bool was_accepted = false;
     /// An attempt to submit it had no response, or one that leaves open whether
     /// the job was accepted.
