agents: Give the publishing of reports a class of its own

Change: report_publisher reads the last report, stores new ones, retries, and keeps the session and the store's clock. agent_service decides what a report says and when it is needed.

--- a/packages/agents/agent_service.cpp
+++ b/packages/agents/agent_service.cpp
@@ -14,14 +14,11 @@
 namespace {
 
 constexpr core::duration tick_period{100};
-/// How often an unchanged report is rewritten, as a heartbeat of the agent.
-constexpr core::duration report_period{1200};
 constexpr core::duration long_poll_wait{1000};
 /// How long a poll may wait while fillers run beside serving tasks, whose
 /// response times must then be read often.
 constexpr core::duration throttling_poll_wait{300};
 constexpr core::duration retry_delay{150};
-constexpr core::duration max_publish_delay{600};
 constexpr core::duration min_refresh_interval{60};
 /// For how long a snapshot confirms the executor's incarnation. Snapshots
 /// arrive at least every second. If this process was suspended for longer, a
@@ -34,20 +31,13 @@
 /// The same for an executor that drains, which cannot be starting.
 constexpr core::duration draining_refused_before_gone{200};
 
-/// @return whether a stored report was written in a session
-bool is_of_session(rows::row const& stored, std::string_view session)
-{
-    auto const report = jobs::decode_report(stored.value);
-    return core::is_ok(report) && core::value(report).session == session;
-}
-
 } // namespace
 
 agent_service::agent_service(rows::row_store& store,
                              event::timer_service& timers,
                              executor_runtime& runtime,
                              notices::notice_sender& notices, options settings)
-    : store_(store), timers_(timers), runtime_(runtime), notices_(notices),
+    : timers_(timers), runtime_(runtime), notices_(notices),
       options_(std::move(settings)),
       orders_(
           store, timers,
@@ -55,53 +45,16 @@
            core::duration(0), rows::layout::order_prefix(options_.agent)},
           [this](rows::row const& changed) { receive_order(changed); },
           [this] { on_orders_updated(); }),
-      lease_(options_.timing), session_(options_.timing),
-      publish_delays_(retry_delay, max_publish_delay)
+      lease_(options_.timing),
+      publisher_(
+          store, timers, options_.agent, options_.timing,
+          [this](std::string const& session) { tracker_.set_session(session); })
 {
 }
 
 void agent_service::start()
 {
-    load_report();
-}
-
-void agent_service::load_report()
-{
-    auto const key = rows::layout::report_row(options_.agent);
-    std::weak_ptr<bool> const alive = alive_;
-    store_.read(rows::layout::single_row_range(key),
-                [this, alive, sent_at = timers_.now()](rows::page const& page) {
-                    if (alive.expired())
-                        return;
-                    if (!page.is_ok) {
-                        load_timer_ = timers_.after(retry_delay,
-                                                    [this] { load_report(); });
-                        return;
-                    }
-                    record_store_time(page.store_time, sent_at);
-                    if (!page.rows.empty())
-                        receive_previous_report(page.rows[0], page.store_time);
-                    if (session_.is_over(timers_.now()))
-                        begin_session("the agent has started");
-                    else
-                        tracker_.set_session(session_.id());
-                    orders_.start();
-                });
-}
-
-void agent_service::receive_previous_report(rows::row const& stored,
-                                            core::duration store_time)
-{
-    report_version_ = stored.version;
-    current_report_ = stored.value;
-    auto decoded = jobs::decode_report(stored.value);
-    if (!core::is_ok(decoded))
-        return;
-    previous_report_ = core::value(std::move(decoded));
-    written_at_ = previous_report_->written_at;
-    session_.resume(previous_report_->session,
-                    timers_.now() -
-                        (store_time - previous_report_->written_at));
+    publisher_.load([this] { orders_.start(); });
 }
 
 void agent_service::receive_order(rows::row const& changed)
@@ -126,10 +79,10 @@
 {
     if (!is_serving_) {
         is_serving_ = true;
-        if (previous_report_) {
+        if (auto const& previous = publisher_.previous_report()) {
             if (worker_.executor.id.empty())
-                update_executor(previous_report_->worker);
-            for (auto const& ended : previous_report_->ended)
+                update_executor(previous->worker);
+            for (auto const& ended : previous->ended)
                 tracker_.restore_end(ended);
         }
         infer_executor_from_orders();
@@ -217,7 +170,7 @@
         refused_since_.reset();
     }
     if (is_new || has_new_state || worker.capacity != worker_.capacity) {
-        is_report_outdated_ = true;
+        publisher_.mark_outdated();
         is_state_change_unsent_ = true;
         core::log_event(is_new ? "executor_joined" : "executor_changed",
                         {{"agent", options_.agent},
@@ -318,13 +271,6 @@
         runtime_.start(action.order, *lease_end_ms, on_reply);
 }
 
-void agent_service::record_store_time(core::duration store_time,
-                                      core::time_point sent_at)
-{
-    if (store_time != core::duration(0))
-        store_clock_.record(store_time, sent_at, timers_.now());
-}
-
 void agent_service::poll_executor()
 {
     if (is_polling_ || !is_serving_ || worker_.executor.id.empty() ||
@@ -428,7 +374,7 @@
         return;
     lease_.end();
     // The executor may return, and the decider then has taken its runs as lost.
-    begin_session("the executor counts as gone");
+    publisher_.begin_session("the executor counts as gone");
     mark_executor_gone("silent until its lease expired");
     is_presumed_gone_ = true;
 }
@@ -463,108 +409,41 @@
 
 jobs::worker_report agent_service::make_report()
 {
-    // The decider ignores reports that are older than the last one, which may
-    // come from an earlier process of this agent.
-    written_at_ = std::max(store_clock_.time(timers_.now()),
-                           written_at_ + core::duration(1));
-    auto running = tracker_.running();
-    for (auto& task : running)
+    jobs::worker_report report;
+    report.worker = worker_;
+    report.running = tracker_.running();
+    for (auto& task : report.running)
         task.share = throttle_.share_of(task.run);
-    return {options_.agent,     written_at_,      worker_,
-            std::move(running), tracker_.ended(), session_.id()};
+    report.ended = tracker_.ended();
+    return publisher_.complete(std::move(report));
 }
 
 void agent_service::publish_report_if_due()
 {
-    if (is_publishing_ || worker_.executor.id.empty() || !is_serving_ ||
-        is_worker_inferred_)
+    if (publisher_.is_publishing() || worker_.executor.id.empty() ||
+        !is_serving_ || is_worker_inferred_)
         return;
     bool const has_new_end = tracker_.end_count() != published_end_count_;
-    if (has_new_end || ends_.has_unacknowledged() || is_report_outdated_ ||
-        timers_.now() - published_at_ >=
-            std::max(report_period, 3 * store_latency_.typical_latency()))
+    if (has_new_end || ends_.has_unacknowledged() || publisher_.is_due())
         publish_report();
 }
 
-void agent_service::begin_session(std::string_view reason)
-{
-    session_.begin(timers_.now());
-    core::log_event("session_begun", {{"agent", options_.agent},
-                                      {"session", session_.id()},
-                                      {"reason", std::string(reason)}});
-    tracker_.set_session(session_.id());
-    is_report_outdated_ = true;
-}
-
 void agent_service::publish_report()
 {
-    if (session_.is_over(timers_.now()))
-        begin_session("no report was stored for too long");
-    is_publishing_ = true;
-    is_report_outdated_ = false;
-    publishing_end_count_ = tracker_.end_count();
-    publish_started_at_ = timers_.now();
-    current_report_ = jobs::encode(make_report());
-    auto const key = rows::layout::report_row(options_.agent);
-    rows::transaction changes;
-    changes.conditions.push_back({key, report_version_});
-    changes.writes.push_back({key, current_report_});
-    std::weak_ptr<bool> const alive = alive_;
-    store_.commit(std::move(changes), store_latency_.timeout(),
-                  [this, alive, reported = ends_.last_listed()](
-                      rows::commit_result const& result) {
-                      if (!alive.expired())
-                          receive_publish_result(result, reported);
-                  });
-}
-
-void agent_service::receive_publish_result(rows::commit_result const& result,
-                                           end_position const& reported)
-{
-    is_publishing_ = false;
-    auto const started_at = publish_started_at_;
-    record_store_time(result.store_time, started_at);
-    store_latency_.record(result.outcome, timers_.now() - started_at);
-    bool is_written = result.outcome == rows::commit_outcome::committed;
-    if (is_written)
-        report_version_ = result.version;
-    if (result.outcome == rows::commit_outcome::conflict) {
-        report_version_ = rows::no_row;
-        for (auto const& row : result.current) {
-            report_version_ = row.version;
-            // An earlier attempt took effect, but its answer was lost.
-            is_written = row.value == current_report_;
-            if (!is_written && !is_of_session(row, session_.id()))
-                begin_session("another process has written the report");
+    publisher_.check_session();
+    auto const report = make_report();
+    publisher_.publish(report, [this, end_count = tracker_.end_count(),
+                                listed = ends_.last_listed()](
+                                   std::optional<core::time_point> sent_at) {
+        if (sent_at) {
+            lease_.record_store_contact(*sent_at);
+            published_end_count_ = end_count;
+            ends_.acknowledge(listed);
         }
-    }
-    if (!is_written) {
-        is_report_outdated_ = true;
-        if (result.outcome != rows::commit_outcome::conflict) {
-            // Retried with a backoff, since the store counts rejected calls
-            // against its rate limits.
-            is_publishing_ = true;
-            publish_timer_ = timers_.after(publish_delays_.next(), [this] {
-                is_publishing_ = false;
-                publish_report_if_due();
-            });
-        } else {
-            publish_report_if_due();
-        }
-        return;
-    }
-    publish_delays_.reset();
-    // The report may have been stored only after the decider has taken the
-    // agent as lost.
-    if (session_.is_over(timers_.now()))
-        begin_session("the report was stored too late");
-    session_.record_contact(started_at);
-    lease_.record_store_contact(started_at);
-    published_at_ = timers_.now();
-    published_end_count_ = publishing_end_count_;
-    ends_.acknowledge(reported);
-    publish_report_if_due();
-    poll_executor();
+        publish_report_if_due();
+        if (sent_at)
+            poll_executor();
+    });
 }
 
 } // namespace sequoiaroute::agents
--- a/packages/agents/agent_service.hpp
+++ b/packages/agents/agent_service.hpp
@@ -1,18 +1,15 @@
 #pragma once
 
-#include "agents/agent_session.hpp"
 #include "agents/end_acknowledgement.hpp"
 #include "agents/executor_lease.hpp"
 #include "agents/executor_runtime.hpp"
+#include "agents/report_publisher.hpp"
 #include "agents/run_tracker.hpp"
-#include "core/backoff.hpp"
 #include "event/timer_service.hpp"
 #include "jobs/lease_timing.hpp"
 #include "jobs/worker_report.hpp"
 #include "notices/notice_sender.hpp"
-#include "rows/latency_estimator.hpp"
 #include "rows/row_store.hpp"
-#include "rows/store_clock.hpp"
 #include "rows/table_replica.hpp"
 
 #include <map>
@@ -68,9 +65,6 @@
                                 std::optional<std::int64_t> born_ms);
 
 private:
-    void load_report();
-    void receive_previous_report(rows::row const& stored,
-                                 core::duration store_time);
     void receive_order(rows::row const& changed);
     void on_orders_updated();
     void advance_runs();
@@ -90,16 +84,9 @@
 
     void publish_report_if_due();
     void publish_report();
-    /// Begins a new session, since the decider may have taken the runs of the
-    /// present one as ended.
-    void begin_session(std::string_view reason);
     void notify_decider();
-    void receive_publish_result(rows::commit_result const& result,
-                                end_position const& reported);
     jobs::worker_report make_report();
-    void record_store_time(core::duration store_time, core::time_point sent_at);
 
-    rows::row_store& store_;
     event::timer_service& timers_;
     executor_runtime& runtime_;
     notices::notice_sender& notices_;
@@ -136,29 +123,10 @@
     /// The executor's state has changed since the decider was last notified.
     bool is_state_change_unsent_ = false;
 
-    rows::row_version report_version_ = rows::no_row;
-    /// The report as it was last sent to the store, encoded.
-    std::string current_report_;
-    agent_session session_;
-    rows::latency_estimator store_latency_;
-    core::backoff publish_delays_;
-    bool is_publishing_ = false;
-    /// The stored report is missing or outdated, and is rewritten without
-    /// waiting for the report period.
-    bool is_report_outdated_ = true;
+    report_publisher publisher_;
     std::uint64_t published_end_count_ = 0;
-    std::uint64_t publishing_end_count_ = 0;
-    core::time_point published_at_{};
-    core::time_point publish_started_at_{};
-    rows::store_clock store_clock_;
-    /// The time of the last report, by the store's clock.
-    core::duration written_at_{0};
-    /// The last report of an earlier process of this agent, if there is one.
-    std::optional<jobs::worker_report> previous_report_;
 
     std::unique_ptr<event::timer> tick_timer_;
-    std::unique_ptr<event::timer> load_timer_;
-    std::unique_ptr<event::timer> publish_timer_;
     std::unique_ptr<event::timer> poll_timer_;
     std::unique_ptr<event::timer> advance_timer_;
     /// Callbacks hold it weakly, and do nothing once this object is destroyed.
