tests: Share how the agent's tests restore the store and restart the agent

Cause: the pair of statements that makes the store reachable again, and the construction of the agent, stood in three and six places.

--- a/tests/agents/agent_service_test.cpp
+++ b/tests/agents/agent_service_test.cpp
@@ -117,7 +117,11 @@
 class agent_service_test : public testing::Test
 {
 public:
-    agent_service_test() : store(timers), executor(timers)
+    agent_service_test() : store(timers), executor(timers) { replace_agent(); }
+
+    /// Destroys the agent, if there is one, and creates another one, which has
+    /// not been started.
+    void replace_agent()
     {
         agent.emplace(store, timers, executor, notices,
                       agent_service::options{"a", {6s, 1s}});
@@ -170,6 +174,12 @@
         store.reads = memory_row_store::fault::refused;
     }
 
+    void restore_store()
+    {
+        store.next_commits = memory_row_store::fault::none;
+        store.reads = memory_row_store::fault::none;
+    }
+
     /// @return whether the agent has told the decider that the executor ended
     bool has_announced_end()
     {
@@ -254,8 +264,7 @@
     executor.end(order.run, jobs::run_end::done);
     timers.advance(200ms);
     ASSERT_TRUE(executor.ended.empty());
-    agent.emplace(store, timers, executor, notices,
-                  agent_service::options{"a", {6s, 1s}});
+    replace_agent();
     agent->start();
     timers.advance(3s);
     ASSERT_EQ(report().ended.size(), 1U);
@@ -364,8 +373,7 @@
     begin();
     timers.advance(2s);
     executor.born_ms = 2;
-    agent.emplace(store, timers, executor, notices,
-                  agent_service::options{"a", {6s, 1s}});
+    replace_agent();
     agent->start();
     timers.advance(50ms);
     put_order(make_order(0));
@@ -435,8 +443,7 @@
     announce_order(order);
     timers.advance(1s);
     EXPECT_TRUE(executor.running.empty());
-    store.next_commits = memory_row_store::fault::none;
-    store.reads = memory_row_store::fault::none;
+    restore_store();
     timers.advance(2s);
     EXPECT_TRUE(executor.running.contains(order.run));
 }
@@ -519,8 +526,7 @@
     auto const earlier = report().session;
     cut_store();
     timers.advance(12s);
-    store.next_commits = memory_row_store::fault::none;
-    store.reads = memory_row_store::fault::none;
+    restore_store();
     timers.advance(1s);
     ASSERT_NE(report().session, earlier);
     auto order = make_order(0);
@@ -541,14 +547,12 @@
 {
     begin();
     auto const session = report().session;
-    agent.emplace(store, timers, executor, notices,
-                  agent_service::options{"a", {6s, 1s}});
+    replace_agent();
     begin();
     EXPECT_EQ(report().session, session);
     agent.reset();
     timers.advance(11s);
-    agent.emplace(store, timers, executor, notices,
-                  agent_service::options{"a", {6s, 1s}});
+    replace_agent();
     begin();
     EXPECT_NE(report().session, session);
 }
@@ -581,8 +585,7 @@
     executor.is_silent = true;
     cut_store();
     timers.advance(12s);
-    store.next_commits = memory_row_store::fault::none;
-    store.reads = memory_row_store::fault::none;
+    restore_store();
     timers.advance(1s);
     ASSERT_EQ(report().worker.state, jobs::worker_state::gone);
     executor.is_silent = false;
@@ -642,8 +645,7 @@
     heartbeat(jobs::worker_state::ready);
     timers.advance(500ms);
     EXPECT_EQ(report().worker.state, jobs::worker_state::gone);
-    agent.emplace(store, timers, executor, notices,
-                  agent_service::options{"a", {6s, 1s}});
+    replace_agent();
     agent->start();
     timers.advance(500ms);
     heartbeat(jobs::worker_state::ready);
