rows: Follow the store's clock with each answer of the change feed

Cause: a replica took the store's time from the answer to its last full read, as if that had arrived at once, and extrapolated it for as long as the process ran.

Change: pages of the feed have the store's time, and table_replica follows it with store_clock.

Result: the tests of rows, adapter and gateway pass; store_client decodes the time (reports_lost_history_and_skips_invalid_rows).

--- a/packages/rows/row_store.hpp
+++ b/packages/rows/row_store.hpp
@@ -125,6 +125,8 @@
     feed_outcome outcome = feed_outcome::unavailable;
     std::vector<row> rows;
     row_version version = no_row;
+    /// The time of the store's steady clock; zero if it is not known.
+    core::duration store_time{0};
 };
 
 /// The platform's transactional store of rows. Calls do not block; each
--- a/packages/rows/table_replica.cpp
+++ b/packages/rows/table_replica.cpp
@@ -63,7 +63,13 @@
 {
     if (!is_loaded())
         return core::duration(0);
-    return store_time_ + (timers_.now() - store_time_read_at_);
+    return store_clock_.time(timers_.now());
+}
+
+void table_replica::record_store_time(core::duration store_time)
+{
+    if (store_time != core::duration(0))
+        store_clock_.record(store_time, sent_at_, timers_.now());
 }
 
 row_version table_replica::version_of(row_key const& key) const
@@ -92,8 +98,7 @@
                     if (!result.is_ok)
                         return retry([this] { load(); });
                     loading_version_ = result.version;
-                    store_time_ = result.store_time;
-                    store_time_read_at_ = timers_.now();
+                    record_store_time(result.store_time);
                     list_parts();
                 });
 }
@@ -194,6 +199,7 @@
     for (auto& changed : page.rows)
         apply(std::move(changed));
     retry_delays_.reset();
+    record_store_time(page.store_time);
     version_ = std::max(version_, page.version);
     newest_version_ = std::max(newest_version_, version_);
     confirmed_at_ = sent_at_;
--- a/packages/rows/table_replica.hpp
+++ b/packages/rows/table_replica.hpp
@@ -3,6 +3,7 @@
 #include "core/backoff.hpp"
 #include "event/timer_service.hpp"
 #include "rows/row_store.hpp"
+#include "rows/store_clock.hpp"
 
 #include <functional>
 #include <map>
@@ -75,8 +76,8 @@
         return confirmed_at_;
     }
 
-    /// @return the current time of the store's steady clock, extrapolated from
-    ///         the last full read; zero before the table was read
+    /// @return the estimated time of the store's steady clock; zero before the
+    ///         table was read
     core::duration store_time() const;
 
     /// @return the time since confirmed_at(); the longest duration before the
@@ -101,6 +102,9 @@
     void poll_feed(core::duration wait);
     void receive_changes(feed_page page);
 
+    /// Adds the time in an answer to the estimate of the store's clock.
+    void record_store_time(core::duration store_time);
+
     /// Applies a row unless the replica has it in the same or a later version.
     void apply(row changed);
 
@@ -121,9 +125,7 @@
     row_version newest_version_ = no_row;
     std::optional<core::time_point> confirmed_at_;
     core::time_point sent_at_{}; ///< start of the current poll or full read
-    /// The store's steady clock at the last full read, and when that was.
-    core::duration store_time_{0};
-    core::time_point store_time_read_at_{};
+    store_clock store_clock_;
 
     // The state of a read of the whole table.
     std::size_t parts_to_load_ = 0;
--- a/tests/adapter/adapter_test.cpp
+++ b/tests/adapter/adapter_test.cpp
@@ -110,11 +110,12 @@
     EXPECT_EQ(page.outcome, rows::feed_outcome::history_lost);
     client.reply =
         make_reply(200, R"({"rows":[{"Table":"t","part":"p","Key":"k",
-        "Ver":9,"Removed":true},{"Table":3}],"Ver":9})");
+        "Ver":9,"Removed":true},{"Table":3}],"Ver":9,"NowMs":77})");
     store.poll_feed("t", 3, 500ms,
                     [&](auto const& received) { page = received; });
     ASSERT_EQ(page.rows.size(), 1U);
     EXPECT_TRUE(page.rows[0].is_removed);
+    EXPECT_EQ(page.store_time, 77ms);
 }
 
 TEST(executor_client, decodes_lists_of_runs)
--- a/tests/support/memory_row_store.hpp
+++ b/tests/support/memory_row_store.hpp
@@ -226,6 +226,7 @@
         if (poll.after < history_start_)
             return poll.done({rows::feed_outcome::history_lost, {}, 0});
         rows::feed_page page{rows::feed_outcome::current, {}, version_};
+        page.store_time = timers_.now().time_since_epoch();
         for (auto const& row : history_) {
             if (row.key.table == poll.table && row.version > poll.after)
                 page.rows.push_back(row);
