gateway: Let no peer with older rules decide on a relayed call

Cause: an entry without the store relays calls to a peer.

Change: a relayed call carries that version and a time limit by the store's clock. A peer that has older rules, cannot reach the store, or gets to the call too late answers that it did nothing, and the next one is asked.

--- a/packages/gateway/call_codec.cpp
+++ b/packages/gateway/call_codec.cpp
@@ -35,6 +35,10 @@
         submission.spec = *call.spec;
         document["job"] = jobs::encode(submission);
     }
+    if (call.rules_version > 0)
+        document["rules_version"] = call.rules_version;
+    if (call.expires_at > core::duration(0))
+        document["expires_at_ms"] = call.expires_at.count();
     return document.dump(-1, ' ', false, json::error_handler_t::replace);
 }
 
@@ -48,6 +52,9 @@
         call.key = document.at("key");
         call.time_limit = core::to_duration(document.at("time_limit_ms"));
         call.body_bytes = document.at("body_bytes");
+        call.rules_version =
+            core::field_or(document, "rules_version", std::uint64_t{0});
+        call.expires_at = core::duration_field(document, "expires_at_ms");
         if (auto const job = document.find("job"); job != document.end()) {
             auto submission = jobs::decode_submission(job->get<std::string>());
             if (core::is_ok(submission))
--- a/packages/gateway/customer_call.hpp
+++ b/packages/gateway/customer_call.hpp
@@ -4,6 +4,7 @@
 #include "jobs/job_spec.hpp"
 #include "jobs/progress.hpp"
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
@@ -31,6 +32,12 @@
     std::size_t body_bytes = 0; ///< size of the request body
     /// The submitted job; empty if the body could not be decoded.
     std::optional<jobs::job_spec> spec;
+    /// Of a relayed call: the version of the rules that the relaying entry has
+    /// applied. A peer with older ones does not decide on the call.
+    std::uint64_t rules_version = 0;
+    /// Of a relayed call: when the relaying entry gives it up, by the store's
+    /// clock; 0 if unknown. A peer does not begin it later.
+    core::duration expires_at{0};
 };
 
 /// The result of a call.
--- a/packages/gateway/customer_service.cpp
+++ b/packages/gateway/customer_service.cpp
@@ -114,7 +114,11 @@
 {
     if (store_.is_reachable() && are_replicas_current())
         return handle_locally(std::move(call), std::move(respond));
-    // The store may still serve other entries, whose replicas are newer then.
+    // The store may still serve other entries.
+    auto const rules = rules_.current();
+    call.rules_version = rules == nullptr ? 0 : rules->version;
+    if (work_.is_loaded())
+        call.expires_at = work_.store_time() + max_tried_peers * relay_timeout;
     relay_.relay(call, [this, call, respond = std::move(respond)](
                            std::optional<customer_reply> const& reply) {
         if (reply)
@@ -124,6 +128,24 @@
     });
 }
 
+void customer_service::handle_relayed(customer_call call,
+                                      customer_responder respond)
+{
+    auto const rules = rules_.current();
+    std::string_view refusal;
+    if (!store_.is_reachable() || rules == nullptr)
+        refusal = "this entry cannot serve it";
+    else if (rules->version < call.rules_version)
+        refusal = "the rules are older than those of the relaying entry";
+    else if (call.expires_at > core::duration(0) &&
+             work_.store_time() > call.expires_at)
+        refusal = "the relaying entry no longer waits";
+    if (refusal.empty())
+        return handle_locally(std::move(call), std::move(respond));
+    log_refused_call("relayed_call_refused", call, refusal);
+    respond(make_reply(call_outcome::unavailable));
+}
+
 void customer_service::handle_locally(customer_call call,
                                       customer_responder respond)
 {
--- a/packages/gateway/customer_service.hpp
+++ b/packages/gateway/customer_service.hpp
@@ -39,9 +39,11 @@
     /// @param respond runs once with the reply
     void handle(customer_call call, customer_responder respond);
 
-    /// Serves a call without relaying it. Used for calls that another entry has
-    /// relayed, which would otherwise be relayed in a loop.
-    void handle_locally(customer_call call, customer_responder respond);
+    /// Serves a call that another entry has relayed. It is not relayed again,
+    /// which could go on in a loop. Not served if this entry has older rules
+    /// than the other one, cannot reach the store, or the other one no longer
+    /// waits.
+    void handle_relayed(customer_call call, customer_responder respond);
 
     /// @return whether this entry can serve calls itself; reported to the load
     ///         balancer
@@ -51,6 +53,8 @@
     struct pending_write;
 
     bool are_replicas_current() const;
+    /// Serves a call without relaying it.
+    void handle_locally(customer_call call, customer_responder respond);
     void submit(customer_call call, jobs::queue_rule const& queue,
                 std::string job_id, customer_responder respond);
     void cancel(std::string const& job_id, customer_call const& call,
--- a/packages/gateway/peer_relay.cpp
+++ b/packages/gateway/peer_relay.cpp
@@ -9,11 +9,6 @@
 
 namespace {
 
-/// A peer that can serve the call answers within a few milliseconds; one that
-/// does not is probably cut off from the store as well.
-constexpr core::duration relay_timeout{600};
-constexpr std::size_t max_tried_peers = 2;
-
 /// @return whether an answer of one peer tells the outcome of a call that
 ///         another peer may have applied, or may apply later
 bool is_conclusive(call_kind kind, call_outcome outcome)
--- a/packages/gateway/peer_relay.hpp
+++ b/packages/gateway/peer_relay.hpp
@@ -11,6 +11,12 @@
 
 namespace sequoiaroute::gateway {
 
+/// How long a peer may take to answer a relayed call. One that can serve it
+/// answers within a few milliseconds; one that does not is probably cut off
+/// from the store as well.
+constexpr core::duration relay_timeout{600};
+constexpr std::size_t max_tried_peers = 2;
+
 /// Relays customers' calls to another entry.
 class call_relay
 {
--- a/packages/programs/schedule_entry.cpp
+++ b/packages/programs/schedule_entry.cpp
@@ -230,7 +230,7 @@
         auto call = gateway::decode_call(request.body);
         if (!core::is_ok(call))
             return respond({400, {}, "{}", "application/json"});
-        customer_service_.handle_locally(
+        customer_service_.handle_relayed(
             core::value(std::move(call)),
             [respond](gateway::customer_reply const& reply) {
                 respond({200, {}, gateway::encode(reply), "application/json"});
