scheduler: Store which failed runs of a gang have been counted

Cause: members that fail in the same run of a gang count as one attempt, but which runs had been counted was kept in memory only. A decider that took over between the ends of two members counted the second as another attempt.

Change: the progress of an occurrence is stored with the runs that were counted.

Test: scheduler_core_test.counts_a_failed_gang_run_once_after_a_takeover, which failed without the stored runs.

--- a/packages/jobs/progress.hpp
+++ b/packages/jobs/progress.hpp
@@ -51,8 +51,7 @@
     /// The tasks, by step and index.
     std::vector<std::vector<task_progress>> steps;
     /// The numbers of the gang runs whose failure has been counted, by step, so
-    /// that several failed members count as one attempt. Not stored, because
-    /// the ends of the members of one run arrive close together.
+    /// that several failed members count as one attempt.
     std::map<std::int32_t, std::set<std::int64_t>> failed_gang_runs;
 };
 
--- a/packages/jobs/row_codec.cpp
+++ b/packages/jobs/row_codec.cpp
@@ -113,7 +113,9 @@
     return task;
 }
 
-json to_json(occurrence_progress const& occurrence)
+/// @return an occurrence: its number, the steps, and if there are any, the gang
+///         runs whose failure was counted, by step
+json to_json(std::int64_t number, occurrence_progress const& occurrence)
 {
     json steps = json::array();
     for (auto const& step : occurrence.steps) {
@@ -122,17 +124,22 @@
             tasks.push_back(to_json(task));
         steps.push_back(std::move(tasks));
     }
-    return steps;
+    json document{number, std::move(steps)};
+    if (!occurrence.failed_gang_runs.empty())
+        document.push_back(occurrence.failed_gang_runs);
+    return document;
 }
 
 occurrence_progress occurrence_from(json const& document)
 {
     occurrence_progress occurrence;
-    for (auto const& step : core::elements_of(document)) {
+    for (auto const& step : core::elements_of(document.at(1))) {
         auto& tasks = occurrence.steps.emplace_back();
         for (auto const& task : core::elements_of(step))
             tasks.push_back(task_from(task));
     }
+    if (document.size() > 2)
+        document.at(2).get_to(occurrence.failed_gang_runs);
     return occurrence;
 }
 
@@ -244,7 +251,7 @@
 {
     json occurrences = json::array();
     for (auto const& [number, occurrence] : value.occurrences)
-        occurrences.push_back({number, to_json(occurrence)});
+        occurrences.push_back(to_json(number, occurrence));
     return dump({{"state", name(value.state)},
                  {"started", value.has_started},
                  {"finished", value.finished_occurrences},
@@ -261,7 +268,7 @@
             document.at("finished").get<std::set<std::int64_t>>();
         for (auto const& item : core::elements_of(document.at("occurrences"))) {
             value.occurrences.emplace(item.at(0).get<std::int64_t>(),
-                                      occurrence_from(item.at(1)));
+                                      occurrence_from(item));
         }
         return value;
     });
--- a/tests/scheduler/scheduler_core_test.cpp
+++ b/tests/scheduler/scheduler_core_test.cpp
@@ -1,5 +1,6 @@
 #include "scheduler/scheduler_core.hpp"
 
+#include "jobs/row_codec.hpp"
 #include "support/worker_reports.hpp"
 
 #include <gtest/gtest.h>
@@ -286,6 +287,29 @@
     EXPECT_NE(state("g"), jobs::job_state::failed);
 }
 
+// Guards against a gang that fails after one of two attempts, since the decider
+// changed between the ends of two members that failed in the same attempt.
+TEST_F(scheduler_core_test, counts_a_failed_gang_run_once_after_a_takeover)
+{
+    add_worker("a");
+    add_worker("b");
+    add_job("g", 2, 8, true);
+    auto const started = decide_starts();
+    ASSERT_EQ(started.size(), 2U);
+    report_end(started[0], jobs::run_end::failed);
+    auto const stored = jobs::encode(decide().at(0).progress);
+    scheduler_core next{scheduler_limits{}};
+    next.add_submission(make_job("g", 2, 8, true), now_);
+    next.restore_progress("g", core::value(jobs::decode_progress(stored)),
+                          now_);
+    next.restore_order(started[1], now_);
+    auto report = reports_.at(started[1].agent);
+    report.ended = {{started[1].run, jobs::run_end::failed, ""}};
+    next.receive_report(report, now_);
+    next.decide({now_, unix_ms_, now_});
+    EXPECT_NE(next.jobs().at("g").progress.state, jobs::job_state::failed);
+}
+
 TEST_F(scheduler_core_test, fails_a_job_after_its_last_attempt)
 {
     add_worker("a");
