scheduler: Wait for a silent member of a gang before its last attempt is over

Cause: once a member ends because another one has, a member on a silent agent was taken as ended after 2 s. It may be the one that has failed, and its end, which uses the last attempt up, becomes known only after the gang has started again.

Change: the short wait holds only if an attempt is left even if all runs of unknown end have failed. Otherwise the lease of the silent member has to run out; an end that is listed after that no longer counts.

Test: scheduler_core_test.waits_for_a_silent_member_of_the_last_attempt, which failed without the condition.

--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -251,14 +251,14 @@
         for (auto run = job.assignments.begin();
              run != job.assignments.end();) {
             auto const current = run++;
-            if (has_provably_ended(current->second, time))
+            if (has_provably_ended(job, current->second, time))
                 end_recorder_.record(job, current, jobs::run_end::lapsed, {},
                                      time.now);
         }
     }
 }
 
-bool scheduler_core::has_provably_ended(assignment const& run,
+bool scheduler_core::has_provably_ended(open_job& job, assignment const& run,
                                         decision_time const& time) const
 {
     auto const worker = workers_.find(run.order.agent);
@@ -268,9 +268,14 @@
         time.reports_confirmed_at - worker->second.last_report_at;
     // A member ends as broken because another one has ended. The members of a
     // gang end together, so those on silent workers have ended as well. One
-    // that was never seen may still start, if its order is carried out late.
+    // that was never seen may still start, if its order is carried out late. If
+    // the silent one may have failed as the last attempt, its end is waited
+    // for.
     if (run.has_gang_ended && run.first_seen_at &&
-        silence > limits_.report_freshness_limit)
+        silence > limits_.report_freshness_limit &&
+        find_task(job, run.order.run.task) != nullptr &&
+        most_failed_gang_attempts(job, run.order.run) <
+            job.submission.parameters.max_attempts)
         return true;
     return silence > limits_.lost_after;
 }
--- a/packages/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/scheduler_core.hpp
@@ -132,8 +132,9 @@
     /// Records how a run ended that had been taken as lost.
     void record_late_end(std::string const& agent, jobs::ended_run const& late,
                          core::time_point now);
-    /// @return whether a run on a silent worker must have ended
-    bool has_provably_ended(assignment const& run,
+    /// @return whether a run on a silent worker must have ended, and how it
+    ///         ended need not be known
+    bool has_provably_ended(open_job& job, assignment const& run,
                             decision_time const& time) const;
     void stop_run(open_job& job, assignment& run, std::string_view reason);
     /// Stops the run of a task or, if it is a member of a gang, of all members.
--- a/tests/scheduler/scheduler_core_test.cpp
+++ b/tests/scheduler/scheduler_core_test.cpp
@@ -310,6 +310,37 @@
     EXPECT_NE(next.jobs().at("g").progress.state, jobs::job_state::failed);
 }
 
+// Guards against one attempt too many: the silent member may have failed as the
+// last attempt, and its end becomes known after the gang has started again.
+TEST_F(scheduler_core_test, waits_for_a_silent_member_of_the_last_attempt)
+{
+    for (auto const* agent : {"a", "b", "c", "d"})
+        add_worker(agent);
+    add_job("g", 2, 8, true, 0);
+    for (auto const& order : decide_starts())
+        report_end(order, jobs::run_end::failed);
+    // A step avoids the agents on which it has failed for some seconds.
+    now_ += 7s;
+    for (auto const& [agent, report] : reports_)
+        core_.receive_report(report, now_);
+    auto const last = decide_starts();
+    ASSERT_EQ(last.size(), 2U);
+    report_running(last[1], 10);
+    report_end(last[0], jobs::run_end::broken);
+    auto const report_others = [&] {
+        for (auto const& [agent, report] : reports_) {
+            if (agent != last[1].agent)
+                core_.receive_report(report, now_);
+        }
+    };
+    now_ += 2500ms;
+    report_others();
+    EXPECT_TRUE(decide_starts().empty());
+    now_ += 16s;
+    report_others();
+    EXPECT_EQ(decide_starts().size(), 2U);
+}
+
 TEST_F(scheduler_core_test, fails_a_job_after_its_last_attempt)
 {
     add_worker("a");
