scheduler: Keep the short wait for gangs whose tasks last

Cause: tasks that last have no limit of attempts, but the wait for a silent member of their gang compared the runs of unknown end with it. Looking the counted runs up also added an empty entry to the stored progress.

--- a/packages/scheduler/job_tasks.cpp
+++ b/packages/scheduler/job_tasks.cpp
@@ -54,13 +54,16 @@
                                        jobs::run_id const& member)
 {
     auto const& id = member.task;
-    auto& occurrence = job.progress.occurrences.at(id.occurrence);
+    auto const& occurrence = job.progress.occurrences.at(id.occurrence);
     std::set<std::int64_t> unknown{member.run};
     for (auto const& task : occurrence.steps[static_cast<std::size_t>(id.step)])
         unknown.insert(task.unconfirmed_runs.begin(),
                        task.unconfirmed_runs.end());
-    for (auto const run : occurrence.failed_gang_runs[id.step])
-        unknown.erase(run);
+    if (auto const counted = occurrence.failed_gang_runs.find(id.step);
+        counted != occurrence.failed_gang_runs.end()) {
+        for (auto const run : counted->second)
+            unknown.erase(run);
+    }
     return find_task(job, id)->failures +
            static_cast<std::int32_t>(unknown.size());
 }
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -258,6 +258,15 @@
     }
 }
 
+bool scheduler_core::may_repeat_gang(open_job& job, jobs::run_id const& member)
+{
+    if (step_of(job, member.task).is_long_running)
+        return true;
+    return find_task(job, member.task) != nullptr &&
+           most_failed_gang_attempts(job, member) <
+               job.submission.parameters.max_attempts;
+}
+
 bool scheduler_core::has_provably_ended(open_job& job, assignment const& run,
                                         decision_time const& time) const
 {
@@ -273,9 +282,7 @@
     // for.
     if (run.has_gang_ended && run.first_seen_at &&
         silence > limits_.report_freshness_limit &&
-        find_task(job, run.order.run.task) != nullptr &&
-        most_failed_gang_attempts(job, run.order.run) <
-            job.submission.parameters.max_attempts)
+        may_repeat_gang(job, run.order.run))
         return true;
     return silence > limits_.lost_after;
 }
--- a/packages/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/scheduler_core.hpp
@@ -132,6 +132,9 @@
     /// Records how a run ended that had been taken as lost.
     void record_late_end(std::string const& agent, jobs::ended_run const& late,
                          core::time_point now);
+    /// @return whether an attempt of a gang is left even if all of its runs of
+    ///         unknown end have failed; tasks that last have no limit
+    static bool may_repeat_gang(open_job& job, jobs::run_id const& member);
     /// @return whether a run on a silent worker must have ended, and how it
     ///         ended need not be known
     bool has_provably_ended(open_job& job, assignment const& run,
