scheduler: Decide on no rows from before the lease

A decider that takes over while its replica reads the work table anew waited only until that read had shown its own lease row. Jobs are in other parts, which may have been read earlier: a job that was stored in between was missing when the decider restored the progress and the orders, which it then ignored. The feed delivered the job later, and the decider took it as new and ran its tasks again from the start.

Ruled out: the first read after the start of an entry, since an entry only claims the lease after it; orders and reports, which are read after the lease was acquired.

The decider now waits until the replica has all changes up to its lease.

Before: decides_on_no_rows_from_before_its_lease failed, as the job was ordered though its progress was stored as completed. After: it passes.

--- a/packages/scheduler/decider_service.cpp
+++ b/packages/scheduler/decider_service.cpp
@@ -143,10 +143,13 @@
 
 void decider_service::build_core_if_loaded()
 {
-    bool const has_own_lease =
-        work_.version_of(rows::layout::lease_row()) >= acquired_version_;
-    if (core_ != nullptr || commit_queue_ == nullptr || !has_own_lease ||
-        !report_replica_->is_loaded() || !order_loader_->is_loaded())
+    // The lease row alone does not show this: a full read that began before the
+    // lease was acquired may contain it and lack rows that were written
+    // earlier.
+    bool const has_all_earlier_writes = work_.version() >= acquired_version_;
+    if (core_ != nullptr || commit_queue_ == nullptr ||
+        !has_all_earlier_writes || !report_replica_->is_loaded() ||
+        !order_loader_->is_loaded())
         return;
     core_ = std::make_unique<scheduler_core>(options_.limits);
     std::vector<rows::row const*> rows_by_version;
--- a/tests/scheduler/decider_service_test.cpp
+++ b/tests/scheduler/decider_service_test.cpp
@@ -560,6 +560,45 @@
     EXPECT_TRUE(order("j"));
 }
 
+// Guards against tasks that run again after they are done: the next decider has
+// the lease from a full read of the table that it began before it acquired the
+// lease, and so lacks jobs that were stored meanwhile.
+TEST_F(decider_service_test, decides_on_no_rows_from_before_its_lease)
+{
+    std::optional<entry> first(std::in_place, store, timers, "one");
+    timers.advance(1s);
+    add_job("i");
+    entry second(store, timers, "two");
+    timers.advance(1s);
+    // The second entry reads the table anew, and is slow to get one part.
+    auto const work_part = rows::layout::lease_row().part;
+    store.read_delays[work_part] = 2s;
+    store.reads = memory_row_store::fault::silent;
+    timers.advance(600ms);
+    add_worker("a");
+    store.drop_history();
+    store.reads = memory_row_store::fault::none;
+    timers.advance(1s);
+    store.read_delays.clear();
+    store.table_with_silent_feed = rows::layout::work_table;
+    // The first one carries out a job and ends.
+    first.reset();
+    add_job("j");
+    jobs::job_progress done;
+    done.state = jobs::job_state::completed;
+    store.put(rows::layout::progress_row("j"), jobs::encode(done));
+    second.decider.take_over();
+    timers.advance(100ms);
+    ASSERT_TRUE(second.decider.is_decider());
+    timers.advance(3s);
+    store.table_with_silent_feed.clear();
+    timers.advance(1s);
+    add_worker("a");
+    timers.advance(1s);
+    EXPECT_FALSE(order("j"));
+    EXPECT_TRUE(order("i"));
+}
+
 // Guards against a cancelled job that runs because its cancellation arrives in
 // a notice, before the job itself arrives through the feed of the store.
 TEST_F(decider_service_test, cancels_a_job_that_arrives_after_its_cancellation)
