soak: Drop the history and serve stale reads when silent agents return

The soak dropped the history of the store but never served reads from before that, as the platform does for some seconds, so it could not show what a replica makes of them.

--- a/tests/scheduler/decider_service_test.cpp
+++ b/tests/scheduler/decider_service_test.cpp
@@ -580,7 +580,7 @@
     store.reads = memory_row_store::fault::none;
     timers.advance(1s);
     store.read_delays.clear();
-    store.table_with_silent_feed = rows::layout::work_table;
+    store.silent_feed_prefix = rows::layout::work_table;
     // The first one carries out a job and ends.
     first.reset();
     add_job("j");
@@ -591,7 +591,7 @@
     timers.advance(100ms);
     ASSERT_TRUE(second.decider.is_decider());
     timers.advance(3s);
-    store.table_with_silent_feed.clear();
+    store.silent_feed_prefix.reset();
     timers.advance(1s);
     add_worker("a");
     timers.advance(1s);
--- a/tests/soak/fault_injector.cpp
+++ b/tests/soak/fault_injector.cpp
@@ -19,6 +19,17 @@
 constexpr core::duration max_outage{4400};
 constexpr core::duration min_outage_gap{1200};
 constexpr core::duration max_outage_gap{2600};
+// The lease of a silent agent lasts between the two, so that runs end in some
+// agents and go on in others.
+constexpr core::duration min_agent_silence{7600};
+constexpr core::duration max_agent_silence{9000};
+constexpr double silent_agent_probability = 0.4;
+/// How long the reads of the store show the rows of one moment.
+constexpr core::duration staleness{3000};
+/// How long before and after the return of the agents the feeds are silent.
+constexpr core::duration feed_silence_before_return{200};
+constexpr core::duration feed_silence_after_return{800};
+constexpr core::duration stale_reads_gap{4000};
 constexpr double injected_loss_probability = 0.35;
 constexpr double injected_late_probability = 0.25;
 
@@ -34,6 +45,8 @@
 {
     if (selected_ == selection::store_outages)
         return begin_store_outage();
+    if (selected_ == selection::stale_reads)
+        return begin_stale_reads();
     next_fault_timer_ =
         loop_.after(random_.between(min_fault_delay, max_fault_delay), [this] {
             inject_fault();
@@ -62,6 +75,43 @@
     });
 }
 
+void fault_injector::begin_stale_reads()
+{
+    auto const silence = random_.between(min_agent_silence, max_agent_silence);
+    for (auto& agent : system_.agents()) {
+        if (!random_.happens(silent_agent_probability))
+            continue;
+        set_store_faults(&agent, [](store_faults& faults) {
+            faults.mode = store_faults::response::silent;
+        });
+        begin_fault(
+            "agent without the store",
+            [this, &agent] {
+                set_store_faults(&agent,
+                                 [](store_faults& faults) { faults = {}; });
+            },
+            silence);
+    }
+    auto& store = system_.store();
+    call_later(silence - feed_silence_before_return, [&store] {
+        store.keep_state_for_stale_reads();
+        store.silent_feed_prefix = "";
+    });
+    call_later(silence + feed_silence_after_return, [&store] {
+        store.silent_feed_prefix.reset();
+        store.drop_history();
+        store.are_reads_stale = true;
+    });
+    begin_fault(
+        "stale reads", [&store] { store.are_reads_stale = false; },
+        silence - feed_silence_before_return + staleness);
+    next_fault_timer_ =
+        loop_.after(silence + staleness + stale_reads_gap, [this] {
+            if (!is_healed_)
+                begin_stale_reads();
+        });
+}
+
 void fault_injector::set_store_faults(
     system_process const* only,
     std::function<void(store_faults&)> const& change)
@@ -76,12 +126,18 @@
     }
 }
 
+void fault_injector::call_later(core::duration delay,
+                                std::function<void()> call)
+{
+    fault_timers_.push_back(loop_.after(delay, std::move(call)));
+}
+
 void fault_injector::begin_fault(std::string const& kind,
                                  std::function<void()> end,
                                  core::duration duration)
 {
     ++fault_counts_[kind];
-    fault_timers_.push_back(loop_.after(duration, std::move(end)));
+    call_later(duration, std::move(end));
 }
 
 system_process& fault_injector::pick_process()
@@ -251,6 +307,8 @@
     is_healed_ = true;
     next_fault_timer_.reset();
     fault_timers_.clear();
+    system_.store().silent_feed_prefix.reset();
+    system_.store().are_reads_stale = false;
     for (auto* const group : {&system_.entries(), &system_.agents()}) {
         for (auto& target : *group) {
             target.store->faults = {};
--- a/tests/soak/fault_injector.hpp
+++ b/tests/soak/fault_injector.hpp
@@ -22,6 +22,9 @@
         /// The store is silent for all processes, again and again, and works
         /// for a second or two in between.
         store_outages,
+        /// Agents lose the store for about as long as their leases last. When
+        /// they return, the store drops its history and serves stale reads.
+        stale_reads,
     };
 
     /// @param loop runs the timers
@@ -48,10 +51,15 @@
     void inject_fault();
     /// Begins an outage of the store, and schedules the next one.
     void begin_store_outage();
+    /// Cuts some agents off from the store, makes its reads stale around their
+    /// return, and schedules the next time.
+    void begin_stale_reads();
     /// Changes the faults of the store for one process, or for all.
     /// @param only the process; nullptr for all
     void set_store_faults(system_process const* only,
                           std::function<void(store_faults&)> const& change);
+    /// Calls a function after a delay, unless heal() comes first.
+    void call_later(core::duration delay, std::function<void()> call);
     /// Counts a fault and schedules its end.
     /// @param kind the kind under which it is counted
     /// @param end ends the fault
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -22,8 +22,10 @@
           "how many seconds all jobs may take to end after that");
 ABSL_FLAG(std::size_t, entries, 3, "number of entries");
 ABSL_FLAG(std::size_t, workers, 4, "number of workers");
-ABSL_FLAG(std::string, faults, "all",
-          "all, or store_outages for outages of the store in quick succession");
+ABSL_FLAG(
+    std::string, faults, "all",
+    "all, store_outages for outages of the store in quick succession, or "
+    "stale_reads for agents that return while the store's reads are stale");
 ABSL_FLAG(int, lease_ms, 2000, "the longest lease that executors grant");
 ABSL_FLAG(double, wide_jobs, 0,
           "share of the jobs that have hundreds of short tasks");
@@ -59,6 +61,8 @@
         return fault_selection::all;
     if (name == "store_outages")
         return fault_selection::store_outages;
+    if (name == "stale_reads")
+        return fault_selection::stale_reads;
     return std::nullopt;
 }
 
@@ -176,7 +180,7 @@
         return EXIT_FAILURE;
     auto const faults = parse_faults(absl::GetFlag(FLAGS_faults));
     if (!faults) {
-        fmt::print("--faults must be all or store_outages\n");
+        fmt::print("--faults must be all, store_outages or stale_reads\n");
         return EXIT_FAILURE;
     }
     auto const directory = make_directory();
--- a/tests/soak/store_server.cpp
+++ b/tests/soak/store_server.cpp
@@ -209,6 +209,8 @@
         static_cast<rows::row_version>(to_number(parameter(query, "After"))),
         core::duration(to_number(parameter(query, "WaitMs"))),
         [respond](rows::feed_page const& page) {
+            if (page.outcome == rows::feed_outcome::unavailable)
+                return;
             if (page.outcome == rows::feed_outcome::history_lost)
                 return respond(answer(410));
             respond(answer(
--- a/tests/support/memory_row_store.hpp
+++ b/tests/support/memory_row_store.hpp
@@ -38,7 +38,8 @@
     bool are_reads_stale = false;
     /// Whether only the lists of parts are as stale as that.
     bool are_part_lists_stale = false;
-    std::string table_with_silent_feed; ///< its polls end without a response
+    /// Polls of tables whose names begin so end without a response.
+    std::optional<std::string> silent_feed_prefix;
     /// How long the store takes until it serves a read of a range, by part.
     std::map<std::string, core::duration> read_delays;
     std::size_t commit_count = 0; ///< failed commits included
@@ -131,7 +132,9 @@
                    core::duration wait,
                    std::function<void(rows::feed_page)> done) override
     {
-        if (reads != fault::none || table == table_with_silent_feed) {
+        bool const is_silent =
+            silent_feed_prefix && table.starts_with(*silent_feed_prefix);
+        if (reads != fault::none || is_silent) {
             call_later(wait, [done] { done({}); });
             return;
         }
