scheduler: Wait for the stop of a silent member of a gang

What callers would see: a task that runs twice at the same time, also on one executor, which is then given more than it has room for.

Cause: once a member of a gang has ended as broken, a member that was seen running, and whose agent has not reported for 2 s, counted as ended at once. A member that is being stopped at that moment takes up to the stop time of its executor to end. The decider stops all members of a gang, so that one may be broken while another one is being stopped.

Ruled out: the wait for leases, which covers the time of a stop; the restart of the gang before the other members have ended.

Change: the short wait is at least as long as a stop, counted from when the first broken member was recorded.

Result: scheduler_core_test.waits_for_the_stop_of_a_silent_member failed before ("decide_starts().empty()", actual: false) and passes now.

--- a/packages/scheduler/run_end_recorder.cpp
+++ b/packages/scheduler/run_end_recorder.cpp
@@ -137,7 +137,8 @@
             continue;
         if (!run.gang_broken_at)
             run.gang_broken_at = now;
-        run.has_gang_ended = run.has_gang_ended || end == jobs::run_end::broken;
+        if (end == jobs::run_end::broken && !run.gang_ended_at)
+            run.gang_ended_at = now;
     }
 }
 
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -276,11 +276,12 @@
     auto const silence =
         time.reports_confirmed_at - worker->second.last_report_at;
     // A member ends as broken because another one has ended. The members of a
-    // gang end together, so those on silent workers have ended as well. One
-    // that was never seen may still start, if its order is carried out late. If
-    // the silent one may have failed as the last attempt, its end is waited
-    // for.
-    if (run.has_gang_ended && run.first_seen_at &&
+    // gang end together, so those on silent workers have ended as well, unless
+    // they are still being stopped. One that was never seen may still start, if
+    // its order is carried out late. If the silent one may have failed as the
+    // last attempt, its end is waited for.
+    if (run.gang_ended_at && run.first_seen_at &&
+        time.now - *run.gang_ended_at > limits_.max_stop_time &&
         silence > limits_.report_freshness_limit &&
         may_repeat_gang(job, run.order.run))
         return true;
--- a/packages/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/scheduler_core.hpp
@@ -24,6 +24,8 @@
     /// All leases of runs on a worker have expired if its newest report is
     /// older than this, so its runs are taken to have ended.
     core::duration lost_after{18'000};
+    /// The longest time that an executor takes to stop a run.
+    core::duration max_stop_time{1000};
     /// How long the rows of a finished job are kept; counted from the takeover
     /// if it finished under an earlier decider.
     core::duration finished_job_retention{180'000};
--- a/tests/scheduler/scheduler_core_test.cpp
+++ b/tests/scheduler/scheduler_core_test.cpp
@@ -255,6 +255,31 @@
     EXPECT_EQ(restarted[0].run.run, 2);
 }
 
+// Guards against a task that runs twice, and against a worker with more than
+// its capacity: the silent member of a gang was being stopped when another one
+// ended as broken, and its stop is not over yet.
+TEST_F(scheduler_core_test, waits_for_the_stop_of_a_silent_member)
+{
+    for (auto const* agent : {"a", "b", "c", "d"})
+        add_worker(agent);
+    add_job("g", 3, 8, true, 0);
+    auto const started = decide_starts();
+    ASSERT_EQ(started.size(), 3U);
+    auto const& silent = started[1];
+    report_running(silent, 10);
+    now_ += 2500ms;
+    report_end(started[0], jobs::run_end::stopped);
+    report_end(started[2], jobs::run_end::broken);
+    decide();
+    now_ += 900ms;
+    for (auto const& [agent, report] : reports_)
+        core_.receive_report(report, now_);
+    report_running(silent, 10);
+    EXPECT_TRUE(decide_starts().empty());
+    report_end(silent, jobs::run_end::stopped);
+    EXPECT_EQ(decide_starts().size(), 3U);
+}
+
 // Guards against a gang of which one member runs twice: the order of the silent
 // member may be carried out late, after the others have ended.
 TEST_F(scheduler_core_test, waits_for_a_silent_member_that_was_never_seen)
