agents: Begin a session with each process of an agent

What callers would see: a task that runs twice, and an executor with more than its capacity, after a long silence of an agent that is then killed.

Cause: a new process resumed the session that the last stored report names, and took the time at which that report was written as the last contact. The report may have been stored much later, after the decider had taken the agent as lost. The process that sent it would begin a new session when the answer arrives; if it is killed before, nothing does. The next process then started orders that the decider was withdrawing. Ends that were reported last, directly or by a write that takes effect late, are unknown to the next process in the same way.

Change: each process begins a session of its own. Runs that are running go on; those that are not are stopped and ordered again.

keeps_its_session_over_a_short_restart required the fault: that the decider has noticed no silence does not follow from the last report. What it guarded against, needless stops, keeps_its_runs_over_a_restart checks at the runs themselves.

Result: agent_service_test.starts_nothing_ordered_before_a_restart failed before ("executor.running.empty()", actual: false) and passes now.

--- a/packages/agents/agent_session.cpp
+++ b/packages/agents/agent_session.cpp
@@ -3,7 +3,6 @@
 #include "core/identifier.hpp"
 
 #include <algorithm>
-#include <utility>
 
 namespace sequoiaroute::agents {
 
@@ -20,12 +19,6 @@
     contact_at_ = now;
 }
 
-void agent_session::resume(std::string id, core::time_point contact_at)
-{
-    id_ = std::move(id);
-    contact_at_ = contact_at;
-}
-
 void agent_session::record_contact(core::time_point sent_at)
 {
     contact_at_ = std::max(contact_at_, sent_at);
--- a/packages/agents/agent_session.hpp
+++ b/packages/agents/agent_session.hpp
@@ -13,12 +13,15 @@
 /// placed. Those of an earlier session may have been withdrawn without the
 /// agent knowing it yet, so their runs must not be started.
 ///
-/// Sessions are compared for equality only, and no two are alike, also across
-/// processes of one agent.
+/// Each process of an agent begins a session of its own. It does not know when
+/// the reports of the one before were stored, nor which ends that one reported
+/// last.
+///
+/// Sessions are compared for equality only, and no two are alike.
 class agent_session
 {
 public:
-    /// Begins without a session: is_over() until begin() or resume().
+    /// Begins without a session: is_over() until begin().
     /// @param timing the lease timing that agent and decider share
     explicit agent_session(jobs::lease_timing timing) : timing_(timing) {}
 
@@ -26,11 +29,6 @@
     /// @param now when it begins; no report has named it before
     void begin(core::time_point now);
 
-    /// Resumes the session of an earlier process of this agent.
-    /// @param id its session
-    /// @param contact_at when it wrote its last stored report
-    void resume(std::string id, core::time_point contact_at);
-
     /// @param sent_at when a report that has been stored was sent
     void record_contact(core::time_point sent_at);
 
--- a/packages/agents/report_publisher.cpp
+++ b/packages/agents/report_publisher.cpp
@@ -39,31 +39,27 @@
 {
     auto const key = rows::layout::report_row(agent_);
     std::weak_ptr<bool> const alive = alive_;
-    store_.read(
-        rows::layout::single_row_range(key),
-        [this, alive, sent_at = timers_.now(),
-         on_loaded = std::move(on_loaded)](rows::page const& page) {
-            if (alive.expired())
-                return;
-            if (!page.is_ok) {
-                load_timer_ = timers_.after(
-                    min_retry_delay, [this, on_loaded] { load(on_loaded); });
-                return;
-            }
-            record_store_time(page.store_time, sent_at);
-            if (!page.rows.empty())
-                receive_previous_report(page.rows[0], page.store_time, sent_at);
-            if (session_.is_over(timers_.now()))
-                begin_session("the agent has started");
-            else
-                on_session_(session_.id());
-            on_loaded();
-        });
+    store_.read(rows::layout::single_row_range(key),
+                [this, alive, sent_at = timers_.now(),
+                 on_loaded = std::move(on_loaded)](rows::page const& page) {
+                    if (alive.expired())
+                        return;
+                    if (!page.is_ok) {
+                        load_timer_ =
+                            timers_.after(min_retry_delay, [this, on_loaded] {
+                                load(on_loaded);
+                            });
+                        return;
+                    }
+                    record_store_time(page.store_time, sent_at);
+                    if (!page.rows.empty())
+                        receive_previous_report(page.rows[0]);
+                    begin_session("the agent has started");
+                    on_loaded();
+                });
 }
 
-void report_publisher::receive_previous_report(rows::row const& stored,
-                                               core::duration store_time,
-                                               core::time_point sent_at)
+void report_publisher::receive_previous_report(rows::row const& stored)
 {
     version_ = stored.version;
     auto decoded = jobs::decode_report(stored.value);
@@ -71,9 +67,6 @@
         return;
     previous_report_ = core::value(std::move(decoded));
     written_at_ = previous_report_->written_at;
-    // The store has read its clock no sooner than the call was sent.
-    session_.resume(previous_report_->session,
-                    sent_at - (store_time - previous_report_->written_at));
 }
 
 void report_publisher::record_store_time(core::duration store_time,
--- a/packages/agents/report_publisher.hpp
+++ b/packages/agents/report_publisher.hpp
@@ -32,14 +32,13 @@
     /// @param timers clock and timers
     /// @param agent the id of the agent
     /// @param timing the lease timing that agent and decider share
-    /// @param on_session called with the id of each new session, and of the one
-    ///        that is resumed
+    /// @param on_session called with the id of each new session
     report_publisher(rows::row_store& store, event::timer_service& timers,
                      std::string agent, jobs::lease_timing timing,
                      std::function<void(std::string const&)> on_session);
 
     /// Reads the last report of an earlier process of this agent, until it
-    /// succeeds, and resumes its session or begins a new one.
+    /// succeeds, and begins a session.
     /// @param on_loaded called once
     void load(std::function<void()> on_loaded);
 
@@ -78,9 +77,7 @@
     void publish(jobs::worker_report const& report, callback done);
 
 private:
-    void receive_previous_report(rows::row const& stored,
-                                 core::duration store_time,
-                                 core::time_point sent_at);
+    void receive_previous_report(rows::row const& stored);
     void receive_result(rows::commit_result const& result,
                         callback const& done);
     /// @return whether the conflict shows that the report is stored, since an
