agents: Send a restarted executor nothing that holds for the one before

What callers would see: an end that is lost, so that a task which is done runs again.

Cause: polls do not name an incarnation. An executor that had restarted got the number of acknowledged ends and the end of the lease of the one before, until its first heartbeat arrived. If it carries such a poll out seconds late, it drops ends that were not stored.

Ruled out: answers, since they name the incarnation, and others are ignored; starts, which wait for a confirmed incarnation.

Change: after a refused connection, or an answer of another incarnation, polls acknowledge nothing and extend no lease until the current incarnation has answered. Polls without an answer still extend the lease, since the executor may be at work.

Result: agent_service_test.sends_no_acknowledgement_to_a_restarted_executor failed before (number and lease of the predecessor) and passes now.

--- a/packages/agents/agent_service.cpp
+++ b/packages/agents/agent_service.cpp
@@ -167,6 +167,7 @@
         ends_.set_executor(worker.executor);
         lease_.reset();
         incarnation_confirmed_at_ = {};
+        may_be_replaced_ = false;
         refused_since_.reset();
     }
     if (is_new || has_new_state || worker.capacity != worker_.capacity) {
@@ -284,18 +285,29 @@
     // first poll must not wait.
     auto const wait =
         throttle_.is_active() ? throttling_poll_wait : long_poll_wait;
-    runtime_.poll(
-        ends_.acknowledged_number(), lease_.extend(requested_at),
-        lease_.is_clock_known() ? wait : core::duration(0),
-        [this, alive, requested_at](executor_snapshot const& snapshot) {
-            if (alive.expired())
-                return;
-            is_polling_ = false;
-            if (snapshot.is_ok)
-                receive_snapshot(snapshot, requested_at);
-            else
-                receive_poll_failure(snapshot.is_connection_refused);
-        });
+    send_poll(requested_at, lease_.is_clock_known() ? wait : core::duration(0),
+              [this, alive, requested_at](executor_snapshot const& snapshot) {
+                  if (alive.expired())
+                      return;
+                  is_polling_ = false;
+                  if (snapshot.is_ok)
+                      receive_snapshot(snapshot, requested_at);
+                  else
+                      receive_poll_failure(snapshot.is_connection_refused);
+              });
+}
+
+/// The lease and the number of the last acknowledged end hold for the current
+/// incarnation only. Polls do not name the incarnation, so that a successor
+/// would take them as its own.
+void agent_service::send_poll(core::time_point now, core::duration wait,
+                              std::function<void(executor_snapshot)> done)
+{
+    if (may_be_replaced_)
+        return runtime_.poll(0, std::nullopt, core::duration(0),
+                             std::move(done));
+    runtime_.poll(ends_.acknowledged_number(), lease_.extend(now), wait,
+                  std::move(done));
 }
 
 /// Requests a snapshot without waiting, while a long poll is in progress.
@@ -308,16 +320,14 @@
     is_refreshing_ = true;
     next_refresh_at_ = requested_at + min_refresh_interval;
     std::weak_ptr<bool> const alive = alive_;
-    runtime_.poll(
-        ends_.acknowledged_number(), lease_.extend(requested_at),
-        core::duration(0),
-        [this, alive, requested_at](executor_snapshot const& snapshot) {
-            if (alive.expired())
-                return;
-            is_refreshing_ = false;
-            if (snapshot.is_ok)
-                receive_snapshot(snapshot, requested_at);
-        });
+    send_poll(requested_at, core::duration(0),
+              [this, alive, requested_at](executor_snapshot const& snapshot) {
+                  if (alive.expired())
+                      return;
+                  is_refreshing_ = false;
+                  if (snapshot.is_ok)
+                      receive_snapshot(snapshot, requested_at);
+              });
 }
 
 void agent_service::receive_snapshot(executor_snapshot const& snapshot,
@@ -326,10 +336,12 @@
     refused_since_.reset();
     if (snapshot.born_ms != worker_.executor.born_ms) {
         // A new incarnation whose first heartbeat has not arrived yet.
+        may_be_replaced_ = true;
         incarnation_confirmed_at_ = {};
         next_poll_at_ = timers_.now() + retry_delay;
         return;
     }
+    may_be_replaced_ = false;
     incarnation_confirmed_at_ = requested_at;
     lease_.record_clock(snapshot.clock_ms, timers_.now());
     tracker_.receive_snapshot(snapshot, requested_at);
@@ -359,6 +371,7 @@
 {
     next_poll_at_ = timers_.now() + retry_delay;
     incarnation_confirmed_at_ = {};
+    may_be_replaced_ = may_be_replaced_ || is_connection_refused;
     auto const now = timers_.now();
     if (!is_connection_refused) {
         refused_since_.reset();
--- a/packages/agents/agent_service.hpp
+++ b/packages/agents/agent_service.hpp
@@ -71,6 +71,8 @@
     void send_order(run_tracker::action const& action,
                     core::time_point sent_at);
     void poll_executor();
+    void send_poll(core::time_point now, core::duration wait,
+                   std::function<void(executor_snapshot)> done);
     void refresh_snapshot();
     run_tracker::start_permission start_permission(core::time_point now) const;
     void receive_snapshot(executor_snapshot const& snapshot,
@@ -112,6 +114,10 @@
     bool is_polling_ = false;
     bool is_refreshing_ = false;
     core::time_point next_refresh_at_{};
+    /// The executor has refused a connection, or another incarnation has
+    /// answered a poll. Until the current one answers again, polls may reach
+    /// its successor.
+    bool may_be_replaced_ = false;
     /// Since when the executor refuses connections.
     std::optional<core::time_point> refused_since_;
     core::time_point next_poll_at_{};
--- a/tests/agents/agent_service_test.cpp
+++ b/tests/agents/agent_service_test.cpp
@@ -646,6 +646,30 @@
     EXPECT_EQ(executor.highest_acknowledged, 0);
 }
 
+// Guards against a lost end, and a task that runs twice: the executor has
+// restarted, and is polled before its first heartbeat arrives.
+TEST_F(agent_service_test, sends_no_acknowledgement_to_a_restarted_executor)
+{
+    begin();
+    put_order(make_order(0));
+    timers.advance(100ms);
+    executor.end(make_order(0).run, jobs::run_end::done);
+    timers.advance(200ms);
+    ASSERT_EQ(executor.highest_acknowledged, 1);
+    executor.is_refusing = true;
+    timers.advance(400ms);
+    executor.is_refusing = false;
+    executor.born_ms = 2;
+    executor.highest_acknowledged = 0;
+    executor.lease_end_ms = 0;
+    timers.advance(1s);
+    EXPECT_EQ(executor.highest_acknowledged, 0);
+    EXPECT_EQ(executor.lease_end_ms, 0);
+    heartbeat(jobs::worker_state::ready, 2);
+    timers.advance(1s);
+    EXPECT_GT(executor.lease_end_ms, executor.clock_ms());
+}
+
 // Guards against a lease that is far too long, because its end is computed from
 // the clock of the previous incarnation.
 TEST_F(agent_service_test, ignores_the_clock_of_a_replaced_executor)
