agents: Wait for the lease of an executor that refuses connections

An agent took refused connections for 0.6 s as proof that its executor had ended. A broken path refuses connections as well, and the executor runs on: its runs were ordered again at once, so that tasks ran twice, and the executor was ignored until it restarted.

Ruled out: silence, after which the agent already waited for the lease; late orders, as the first runs were at work all the time.

The lease is not extended while connections are refused, and the executor counts as gone once it has expired, or at once if none was granted. Meanwhile it is reported as draining without an end, so that it gets no new runs and keeps those it has. A new process of an agent assumes that the one before has extended the lease. Such an executor may return, like one that was silent.

--- a/packages/agents/agent_service.cpp
+++ b/packages/agents/agent_service.cpp
@@ -24,12 +24,13 @@
 /// arrive at least every second. If this process was suspended for longer, a
 /// new snapshot is read before any run is started.
 constexpr core::duration incarnation_confirmed_for{1500};
-/// An executor on this machine that refuses connections for this long has
-/// ended. One refusal does not prove it, since an executor that is starting
-/// does not listen yet.
-constexpr core::duration refused_before_gone{600};
-/// The same for an executor that drains, which cannot be starting.
-constexpr core::duration draining_refused_before_gone{200};
+/// An executor that refuses connections for this long gets no new runs. It may
+/// be starting, when it does not listen yet. Its runs go on until their lease
+/// expires, since a broken path refuses connections as well.
+constexpr core::duration refused_before_avoided{600};
+/// The remaining time of an executor that gets no new runs, but may keep those
+/// it has.
+constexpr core::duration unlimited_remaining{std::chrono::hours(1)};
 
 } // namespace
 
@@ -86,6 +87,7 @@
                 tracker_.restore_end(ended);
         }
         infer_executor_from_orders();
+        lease_.assume_extended(timers_.now());
         core::log_event(
             "agent_ready",
             {{"executor", worker_.executor.id},
@@ -128,6 +130,8 @@
         return;
     sequence_ = sequence;
     update_executor(std::move(worker));
+    if (is_same && refuses_connections())
+        avoid_executor();
     if (is_serving_) {
         advance_runs();
         publish_report_if_due();
@@ -167,7 +171,6 @@
         ends_.set_executor(worker.executor);
         lease_.reset();
         incarnation_confirmed_at_ = {};
-        may_be_replaced_ = false;
         refused_since_.reset();
     }
     if (is_new || has_new_state || worker.capacity != worker_.capacity) {
@@ -303,7 +306,7 @@
 void agent_service::send_poll(core::time_point now, core::duration wait,
                               std::function<void(executor_snapshot)> done)
 {
-    if (may_be_replaced_)
+    if (lease_.is_suspended())
         return runtime_.poll(0, std::nullopt, core::duration(0),
                              std::move(done));
     runtime_.poll(ends_.acknowledged_number(), lease_.extend(now), wait,
@@ -336,12 +339,12 @@
     refused_since_.reset();
     if (snapshot.born_ms != worker_.executor.born_ms) {
         // A new incarnation whose first heartbeat has not arrived yet.
-        may_be_replaced_ = true;
+        lease_.suspend();
         incarnation_confirmed_at_ = {};
         next_poll_at_ = timers_.now() + retry_delay;
         return;
     }
-    may_be_replaced_ = false;
+    lease_.resume();
     incarnation_confirmed_at_ = requested_at;
     lease_.record_clock(snapshot.clock_ms, timers_.now());
     tracker_.receive_snapshot(snapshot, requested_at);
@@ -369,29 +372,46 @@
 
 void agent_service::receive_poll_failure(bool is_connection_refused)
 {
-    next_poll_at_ = timers_.now() + retry_delay;
-    incarnation_confirmed_at_ = {};
-    may_be_replaced_ = may_be_replaced_ || is_connection_refused;
     auto const now = timers_.now();
+    next_poll_at_ = now + retry_delay;
+    incarnation_confirmed_at_ = {};
     if (!is_connection_refused) {
         refused_since_.reset();
-    } else if (!refused_since_) {
-        refused_since_ = now;
+    } else {
+        lease_.suspend();
+        refused_since_ = refused_since_.value_or(now);
     }
-    auto const refused_limit = worker_.state == jobs::worker_state::draining
-                                   ? draining_refused_before_gone
-                                   : refused_before_gone;
-    if (refused_since_ && now - *refused_since_ > refused_limit)
-        return mark_executor_gone("refuses connections");
-    if (is_connection_refused || !lease_.has_expired(now))
+    if (refuses_connections())
+        avoid_executor();
+    bool const has_ended = lease_.has_expired(now) ||
+                           (refuses_connections() && lease_.is_unused());
+    if (!has_ended)
         return;
     lease_.end();
     // The executor may return, and the decider then has taken its runs as lost.
     publisher_.begin_session("the executor counts as gone");
-    mark_executor_gone("silent until its lease expired");
+    mark_executor_gone("not reachable until its lease expired");
     is_presumed_gone_ = true;
 }
 
+bool agent_service::refuses_connections() const
+{
+    return refused_since_ &&
+           timers_.now() - *refused_since_ > refused_before_avoided;
+}
+
+/// Lets the decider place no more runs on the executor.
+void agent_service::avoid_executor()
+{
+    if (worker_.state != jobs::worker_state::ready)
+        return;
+    auto avoided = worker_;
+    avoided.state = jobs::worker_state::draining;
+    avoided.remaining = unlimited_remaining;
+    update_executor(std::move(avoided));
+    publish_report_if_due();
+}
+
 void agent_service::throttle_fillers()
 {
     for (auto const& change :
--- a/packages/agents/agent_service.hpp
+++ b/packages/agents/agent_service.hpp
@@ -78,6 +78,8 @@
     void receive_snapshot(executor_snapshot const& snapshot,
                           core::time_point requested_at);
     void receive_poll_failure(bool is_connection_refused);
+    bool refuses_connections() const;
+    void avoid_executor();
     void mark_executor_gone(std::string_view cause);
     void stop_runs_without_order();
     void throttle_fillers();
@@ -103,8 +105,8 @@
     /// The executor is known from orders only. Nothing is reported about it
     /// until it sends a heartbeat or is found to be gone.
     bool is_worker_inferred_ = false;
-    /// The executor counts as gone because it was silent until its lease ran
-    /// out. Its next heartbeat shows that it still exists.
+    /// The executor counts as gone because it could not be reached until its
+    /// lease ran out. Its next heartbeat shows that it still exists.
     bool is_presumed_gone_ = false;
     executor_lease lease_;
 
@@ -114,10 +116,6 @@
     bool is_polling_ = false;
     bool is_refreshing_ = false;
     core::time_point next_refresh_at_{};
-    /// The executor has refused a connection, or another incarnation has
-    /// answered a poll. Until the current one answers again, polls may reach
-    /// its successor.
-    bool may_be_replaced_ = false;
     /// Since when the executor refuses connections.
     std::optional<core::time_point> refused_since_;
     core::time_point next_poll_at_{};
--- a/packages/agents/executor_lease.cpp
+++ b/packages/agents/executor_lease.cpp
@@ -6,6 +6,7 @@
 {
     clock_read_at_.reset();
     extended_at_.reset();
+    is_suspended_ = false;
 }
 
 void executor_lease::record_clock(std::int64_t clock_ms,
@@ -22,7 +23,7 @@
 
 bool executor_lease::may_extend(core::time_point now) const
 {
-    return store_contact_at_ &&
+    return !is_suspended_ && store_contact_at_ &&
            now - *store_contact_at_ < timing_.store_outage_tolerance();
 }
 
--- a/packages/agents/executor_lease.hpp
+++ b/packages/agents/executor_lease.hpp
@@ -25,9 +25,21 @@
     /// @param received_at when the reply arrived
     void record_clock(std::int64_t clock_ms, core::time_point received_at);
 
+    /// Assumes that an earlier process of this agent has extended the lease.
+    /// @param now when that process had ended
+    void assume_extended(core::time_point now) { extended_at_ = now; }
+
     /// @param sent_at when a report that has been stored was sent
     void record_store_contact(core::time_point sent_at);
 
+    /// Allows no extension until resume(). Used while the executor refuses
+    /// connections, or a successor may answer in its place.
+    void suspend() { is_suspended_ = true; }
+
+    void resume() { is_suspended_ = false; }
+
+    bool is_suspended() const { return is_suspended_; }
+
     /// @return whether the executor's clock is known
     bool is_clock_known() const { return clock_read_at_.has_value(); }
 
@@ -41,6 +53,9 @@
     ///         nullopt if the lease must not be extended now
     std::optional<std::int64_t> extend(core::time_point now);
 
+    /// @return whether no lease was granted, so that nothing can be running
+    bool is_unused() const { return !extended_at_; }
+
     /// Records that the lease has expired and all runs have ended.
     void end() { extended_at_.reset(); }
 
@@ -54,6 +69,7 @@
     std::optional<core::time_point> clock_read_at_;
     std::optional<core::time_point> extended_at_;
     std::optional<core::time_point> store_contact_at_;
+    bool is_suspended_ = false;
 };
 
 } // namespace sequoiaroute::agents
