agents: Stop starts that a restarted executor may have carried out

Orders name an executor by its id. One that restarted under the same id, behind a short cut, carried out a start that was on its way to its predecessor. The agent knew of the restart only from the next heartbeat, took all earlier runs as lost and reported the restart, and the decider ordered them elsewhere and gave the room away, while such a run was at work: a task ran twice, an executor got more than it has room for, and the first run ended as stopped, as in the users' record.

The agent reports a restart only once the runs of earlier incarnations have ended.

--- a/packages/agents/agent_service.cpp
+++ b/packages/agents/agent_service.cpp
@@ -229,8 +229,7 @@
     bool const has_changes =
         tracker_.urgent_end_count() != notified_end_count_ ||
         is_state_change_unsent_;
-    if (!has_changes || !is_serving_ || worker_.executor.id.empty() ||
-        is_worker_inferred_)
+    if (!has_changes || !may_report())
         return;
     notified_end_count_ = tracker_.urgent_end_count();
     is_state_change_unsent_ = false;
@@ -451,10 +450,15 @@
     return publisher_.complete(std::move(report));
 }
 
+bool agent_service::may_report() const
+{
+    return is_serving_ && !worker_.executor.id.empty() &&
+           !is_worker_inferred_ && !tracker_.has_replaced_runs();
+}
+
 void agent_service::publish_report_if_due()
 {
-    if (publisher_.is_publishing() || worker_.executor.id.empty() ||
-        !is_serving_ || is_worker_inferred_)
+    if (publisher_.is_publishing() || !may_report())
         return;
     bool const has_new_end = tracker_.end_count() != published_end_count_;
     if (has_new_end || ends_.has_unacknowledged() || publisher_.is_due())
--- a/packages/agents/agent_service.hpp
+++ b/packages/agents/agent_service.hpp
@@ -86,6 +86,8 @@
     void update_executor(jobs::worker_description worker);
     void infer_executor_from_orders();
 
+    /// @return whether the worker is known well enough for a report on it
+    bool may_report() const;
     void publish_report_if_due();
     void publish_report();
     void notify_decider();
--- a/packages/agents/run_tracker.cpp
+++ b/packages/agents/run_tracker.cpp
@@ -24,6 +24,7 @@
         found->second.order.session = session_;
     if (is_new) {
         found->second.may_have_started = may_have_started;
+        found->second.has_unanswered_start = may_have_started;
         found->second.awaits_snapshot = may_have_started;
     }
 }
@@ -51,8 +52,13 @@
 
 void run_tracker::set_executor(jobs::worker_description const& worker)
 {
-    if (worker.executor != worker_.executor)
+    if (worker.executor != worker_.executor) {
         ends_without_order_.clear();
+        for (auto& [run, tracked] : runs_) {
+            tracked.running.reset();
+            tracked.stop_confirmed_at.reset();
+        }
+    }
     worker_ = worker;
 }
 
@@ -101,6 +107,8 @@
         }
         found->second.running = task;
         found->second.may_have_started = true;
+        found->second.was_listed =
+            found->second.was_listed || !is_replaced(found->second);
     }
     if (snapshot.born_ms != worker_.executor.born_ms)
         return;
@@ -115,10 +123,7 @@
             continue;
         if (tracked.stop_confirmed_at &&
             *tracked.stop_confirmed_at <= requested_at) {
-            end(tracked,
-                tracked.is_start_abandoned ? jobs::run_end::refused
-                                           : jobs::run_end::stopped,
-                {});
+            end(tracked, end_after_stop(tracked), {});
         } else if (tracked.start_confirmed_at &&
                    *tracked.start_confirmed_at <= requested_at) {
             // The executor neither runs the task nor lists its end, so the
@@ -136,11 +141,9 @@
     for (auto& [run, tracked] : runs_) {
         if (tracked.ended || tracked.is_call_pending || now < tracked.retry_at)
             continue;
-        auto const& ordered = tracked.order.executor;
-        auto const& current = worker_.executor;
-        if (ordered != current) {
-            if (current.replaces(ordered))
-                end(tracked, jobs::run_end::lost, {});
+        if (tracked.order.executor != worker_.executor) {
+            if (is_replaced(tracked))
+                end_replaced(tracked, actions);
             continue;
         }
         if (tracked.awaits_snapshot)
@@ -172,6 +175,47 @@
     return actions;
 }
 
+bool run_tracker::is_replaced(tracked_run const& tracked) const
+{
+    return worker_.executor.replaces(tracked.order.executor);
+}
+
+jobs::run_end run_tracker::end_after_stop(tracked_run const& tracked) const
+{
+    if (is_replaced(tracked))
+        return jobs::run_end::lost;
+    return tracked.is_start_abandoned ? jobs::run_end::refused
+                                      : jobs::run_end::stopped;
+}
+
+/// Orders name the id of an executor only, so one that restarts under its id
+/// carries out the starts that were on their way to its predecessor. A stop
+/// makes it refuse them.
+void run_tracker::end_replaced(tracked_run& tracked,
+                               std::vector<action>& actions)
+{
+    bool const is_same_id = tracked.order.executor.id == worker_.executor.id;
+    bool const may_run_now =
+        is_same_id && worker_.state != jobs::worker_state::gone &&
+        tracked.may_have_started &&
+        (!tracked.was_listed || tracked.has_unanswered_start);
+    if (!may_run_now)
+        return end(tracked, jobs::run_end::lost, {});
+    if (tracked.stop_confirmed_at)
+        return;
+    tracked.is_call_pending = true;
+    auto stop = tracked.order;
+    stop.executor = worker_.executor;
+    actions.push_back({action::kind::stop, std::move(stop)});
+}
+
+bool run_tracker::has_replaced_runs() const
+{
+    return std::any_of(runs_.begin(), runs_.end(), [this](auto const& item) {
+        return !item.second.ended && is_replaced(item.second);
+    });
+}
+
 void run_tracker::receive_answer(action const& sent, order_reply const& reply,
                                  core::time_point now)
 {
@@ -184,6 +228,9 @@
         return;
     if (sent.type == action::kind::start)
         return receive_start_answer(tracked, reply, now);
+    // A stop that an earlier incarnation confirmed says nothing on this one.
+    if (sent.order.executor != worker_.executor)
+        return;
     if (reply.outcome == order_outcome::done)
         tracked.stop_confirmed_at = now;
     else
@@ -202,6 +249,7 @@
         tracked.retry_at = now;
         return;
     case order_outcome::unknown:
+        tracked.has_unanswered_start = true;
         tracked.retry_at = now + timeout_retry_delay;
         return;
     case order_outcome::wrong_executor:
--- a/packages/agents/run_tracker.hpp
+++ b/packages/agents/run_tracker.hpp
@@ -122,6 +122,11 @@
     /// @return whether a run cannot proceed until the next snapshot
     bool needs_snapshot() const;
 
+    /// @return whether runs of an earlier incarnation have not ended, since the
+    ///         current one may have carried out their starts. It must not be
+    ///         reported before, since the decider takes such runs as lost.
+    bool has_replaced_runs() const;
+
 private:
     struct tracked_run
     {
@@ -129,6 +134,10 @@
         bool is_call_pending = false;  ///< a call has not been answered yet
         bool may_have_started = false; ///< a start has been sent at some time
         bool awaits_snapshot = false;  ///< no call may be made before it
+        /// A start was not answered, so it may take effect later.
+        bool has_unanswered_start = false;
+        /// A snapshot of the ordered incarnation has listed the run.
+        bool was_listed = false;
         /// When the executor confirmed the start.
         std::optional<core::time_point> start_confirmed_at;
         /// When the executor confirmed the stop.
@@ -149,6 +158,14 @@
     ///         running
     bool is_outdated(tracked_run const& tracked) const;
     bool needs_stop(tracked_run const& tracked) const;
+    /// @return whether the run was ordered for an incarnation that the current
+    ///         one has replaced
+    bool is_replaced(tracked_run const& tracked) const;
+    /// Ends a run of an earlier incarnation, or determines the call that has to
+    /// precede its end.
+    void end_replaced(tracked_run& tracked, std::vector<action>& actions);
+    /// @return how a run has ended that a snapshot after its stop does not list
+    jobs::run_end end_after_stop(tracked_run const& tracked) const;
     void receive_start_answer(tracked_run& tracked, order_reply const& reply,
                               core::time_point now);
 
--- a/tests/agents/agent_service_test.cpp
+++ b/tests/agents/agent_service_test.cpp
@@ -684,6 +684,27 @@
     EXPECT_EQ(executor.running.size(), 1U);
 }
 
+// Guards against a task that runs twice: a start reaches the executor after it
+// has restarted under its id, and the decider takes the run as lost as soon as
+// it knows of the restart.
+TEST_F(agent_service_test, stops_earlier_starts_before_it_reports_a_restart)
+{
+    begin();
+    auto const order = make_order(0);
+    executor.born_ms = 2;
+    put_order(order);
+    while (!executor.running.contains(order.run))
+        timers.advance(1ms);
+    heartbeat(jobs::worker_state::ready, 2);
+    auto const limit = timers.now() + 5s;
+    while (report().worker.executor.born_ms == 1 && timers.now() < limit)
+        timers.advance(1ms);
+    EXPECT_EQ(report().worker.executor.born_ms, 2);
+    EXPECT_TRUE(executor.running.empty());
+    ASSERT_EQ(report().ended.size(), 1U);
+    EXPECT_EQ(report().ended[0].run, order.run);
+}
+
 // Guards against a lost end, and a task that runs twice: the report of the
 // previous incarnation's ends is being stored while the executor restarts.
 TEST_F(agent_service_test, acknowledges_no_end_of_the_next_incarnation)
