agents: Start nothing beside a run without an order

The decider removes the order of a run that it takes as ended, and gives the room away. If it is wrong, the run is still on the executor: the agent read the removal and the next order together, started the next run of the same task at once and stopped the first one beside it.

Ruled out: runs whose end the agent has reported, which it remembers until their order is removed.

The agent, which knows what runs on its executor, starts nothing while a run without an order may be there.

Before: starts_nothing_beside_a_run_without_an_order got the start of the next run. After: it passes.

--- a/packages/agents/run_tracker.cpp
+++ b/packages/agents/run_tracker.cpp
@@ -31,7 +31,12 @@
 
 void run_tracker::remove_order(jobs::run_id const& run)
 {
-    runs_.erase(run);
+    auto const removed = runs_.extract(run);
+    if (removed.empty())
+        return;
+    auto const& tracked = removed.mapped();
+    if (tracked.may_have_started && !tracked.ended)
+        runs_without_order_.push_back(run);
 }
 
 void run_tracker::restore_end(jobs::ended_run ended)
@@ -54,6 +59,7 @@
 {
     if (worker.executor != worker_.executor) {
         ends_without_order_.clear();
+        runs_without_order_.clear();
         for (auto& [run, tracked] : runs_) {
             tracked.running.reset();
             tracked.stop_confirmed_at.reset();
@@ -163,9 +169,13 @@
         }
         if (tracked.start_confirmed_at || tracked.running || !is_ready)
             continue;
-        if (permission != start_permission::granted) {
-            has_deferred_start_ =
-                permission == start_permission::incarnation_unconfirmed;
+        if (permission == start_permission::no_lease)
+            continue;
+        // The decider counts the room of a run without an order as free, and
+        // may have ordered the next run of the same task.
+        if (permission == start_permission::incarnation_unconfirmed ||
+            !runs_without_order_.empty()) {
+            has_deferred_start_ = true;
             continue;
         }
         tracked.is_call_pending = true;
--- a/packages/agents/run_tracker.hpp
+++ b/packages/agents/run_tracker.hpp
@@ -57,7 +57,8 @@
     void put_order(jobs::run_order order, bool may_have_started);
 
     /// Stops tracking a run. The decider removes an order once it has recorded
-    /// the end of the run.
+    /// the end of the run. If the run may still be there, no other one is
+    /// started before a snapshot shows that it has ended.
     void remove_order(jobs::run_id const& run);
 
     /// Restores an end from the last stored report. Has no effect on runs that
@@ -92,7 +93,7 @@
     std::vector<action> next_actions(core::time_point now,
                                      start_permission permission);
 
-    /// @return runs in the last snapshot that have no order
+    /// @return runs that have no order and may be running
     std::vector<jobs::run_id> const& runs_without_order() const
     {
         return runs_without_order_;
@@ -176,7 +177,7 @@
     /// The ends in the last snapshot of runs that have no order. The decider
     /// may have taken such a run as lost before its end became known.
     std::vector<jobs::ended_run> ends_without_order_;
-    /// A start is due, but the executor's incarnation is not confirmed.
+    /// A start is due, but waits for what the next snapshot shows.
     bool has_deferred_start_ = false;
     std::uint64_t end_count_ = 0;
     std::uint64_t urgent_end_count_ = 0;
--- a/tests/agents/run_tracker_test.cpp
+++ b/tests/agents/run_tracker_test.cpp
@@ -251,6 +251,28 @@
     EXPECT_TRUE(tracker.runs_without_order().empty());
 }
 
+// Guards against two runs of a task on one executor, and against one with more
+// than its capacity: the decider takes a run as ended that is still there.
+TEST_F(run_tracker_test, starts_nothing_beside_a_run_without_an_order)
+{
+    tracker.put_order(order, false);
+    answer(next_action(), order_outcome::done);
+    auto listing = snapshot();
+    listing.running = {{order.run, "", 10, 100, 0ms}};
+    tracker.receive_snapshot(listing, now);
+    tracker.remove_order(order.run);
+    auto next = order;
+    next.run.run = 2;
+    tracker.put_order(next, false);
+    EXPECT_TRUE(tracker.next_actions(now, permission::granted).empty());
+    EXPECT_TRUE(tracker.needs_snapshot());
+    tracker.receive_snapshot(listing, now + 100ms);
+    EXPECT_TRUE(tracker.next_actions(now, permission::granted).empty());
+    tracker.receive_snapshot(snapshot_with_end(jobs::run_end::stopped),
+                             now + 200ms);
+    EXPECT_EQ(next_action().order.run, next.run);
+}
+
 // Guards against a run that is reported as lost, and run again elsewhere,
 // because its order arrived before the first heartbeat of the incarnation that
 // it names.
