agents: Count an executor as gone when it ends, not when it says so

What callers would see: a task that runs twice when an executor leaves.

Cause: a deregistration counted as the end of the executor at once, before it was even answered. An executor without an answer, as from an agent that was frozen, runs on for seconds, but its runs were taken as lost and ordered again elsewhere.

Ruled out: deregistrations of an earlier incarnation, which are ignored; runs that are stopped before the executor leaves.

Change: after a deregistration, the executor counts as draining with no time left, and its lease is not extended any more. It is gone once it refuses a connection or its lease has run out.

ignores_heartbeats_of_an_executor_that_has_left and ignores_a_late_deregistration let the executor refuse connections after its deregistration now; before, it answered on and was required to be gone.

--- a/packages/agents/agent_service.cpp
+++ b/packages/agents/agent_service.cpp
@@ -125,8 +125,10 @@
     if (worker.executor.born_ms < worker_.executor.born_ms ||
         (is_same && sequence <= sequence_ && sequence_ > 0))
         return;
-    if (is_same && worker_.state == jobs::worker_state::gone &&
-        !is_presumed_gone_)
+    bool const is_ending =
+        has_deregistered_ ||
+        (worker_.state == jobs::worker_state::gone && !is_presumed_gone_);
+    if (is_same && is_ending)
         return;
     sequence_ = sequence;
     update_executor(std::move(worker));
@@ -144,9 +146,18 @@
     // An executor may restart under the same id. A deregistration that arrives
     // late is then that of its predecessor.
     if (executor_id != worker_.executor.id ||
-        (born_ms && *born_ms != worker_.executor.born_ms))
+        (born_ms && *born_ms != worker_.executor.born_ms) ||
+        worker_.state == jobs::worker_state::gone)
         return;
-    mark_executor_gone("deregistered");
+    has_deregistered_ = true;
+    auto leaving = worker_;
+    leaving.state = jobs::worker_state::draining;
+    leaving.remaining = core::duration(0);
+    update_executor(std::move(leaving));
+    if (is_serving_) {
+        notify_decider();
+        publish_report_if_due();
+    }
 }
 
 void agent_service::mark_executor_gone(std::string_view cause)
@@ -170,6 +181,7 @@
     if (is_new) {
         ends_.set_executor(worker.executor);
         lease_.reset();
+        has_deregistered_ = false;
         incarnation_confirmed_at_ = {};
         refused_since_.reset();
     }
@@ -308,7 +320,8 @@
     if (lease_.is_suspended())
         return runtime_.poll(0, std::nullopt, core::duration(0),
                              std::move(done));
-    runtime_.poll(ends_.acknowledged_number(), lease_.extend(now), wait,
+    runtime_.poll(ends_.acknowledged_number(),
+                  has_deregistered_ ? std::nullopt : lease_.extend(now), wait,
                   std::move(done));
 }
 
@@ -380,6 +393,8 @@
         lease_.suspend();
         refused_since_ = refused_since_.value_or(now);
     }
+    if (has_deregistered_ && (is_connection_refused || lease_.has_run_out(now)))
+        return mark_executor_gone("deregistered");
     if (refuses_connections())
         avoid_executor();
     bool const has_ended = lease_.has_expired(now) ||
--- a/packages/agents/agent_service.hpp
+++ b/packages/agents/agent_service.hpp
@@ -58,7 +58,8 @@
     void receive_notice(notices::row_notice notice);
 
     /// Reports that an executor has announced its end. Ignored unless it is the
-    /// current one.
+    /// current one. The executor may run on for seconds, so it counts as gone
+    /// only once it refuses connections or its lease has expired.
     /// @param executor_id the id of the executor
     /// @param born_ms its start time; nullopt if it gave none
     void receive_deregistration(std::string const& executor_id,
@@ -107,6 +108,8 @@
     /// The executor is known from orders only. Nothing is reported about it
     /// until it sends a heartbeat or is found to be gone.
     bool is_worker_inferred_ = false;
+    /// The executor has announced its end. Its lease is not extended any more.
+    bool has_deregistered_ = false;
     /// The executor counts as gone because it could not be reached until its
     /// lease ran out. Its next heartbeat shows that it still exists.
     bool is_presumed_gone_ = false;
--- a/packages/agents/executor_lease.cpp
+++ b/packages/agents/executor_lease.cpp
@@ -39,10 +39,14 @@
     return clock_ms_ + (passed + timing_.lease()).count();
 }
 
+bool executor_lease::has_run_out(core::time_point now) const
+{
+    return extended_at_ && now - *extended_at_ > timing_.max_time_to_stop();
+}
+
 bool executor_lease::has_expired(core::time_point now) const
 {
-    return extended_at_ && !may_extend(now) &&
-           now - *extended_at_ > timing_.max_time_to_stop();
+    return !may_extend(now) && has_run_out(now);
 }
 
 } // namespace sequoiaroute::agents
--- a/packages/agents/executor_lease.hpp
+++ b/packages/agents/executor_lease.hpp
@@ -59,6 +59,10 @@
     /// Records that the lease has expired and all runs have ended.
     void end() { extended_at_.reset(); }
 
+    /// @return whether the lease has been extended, and has certainly run out
+    ///         since, together with all runs
+    bool has_run_out(core::time_point now) const;
+
     /// @return whether the lease has been extended, must not be extended any
     ///         more, and has certainly run out, together with all runs
     bool has_expired(core::time_point now) const;
--- a/tests/agents/agent_service_test.cpp
+++ b/tests/agents/agent_service_test.cpp
@@ -775,6 +775,7 @@
 {
     begin();
     agent->receive_deregistration("i-1", 1);
+    executor.is_refusing = true;
     heartbeat(jobs::worker_state::ready);
     timers.advance(500ms);
     EXPECT_EQ(report().worker.state, jobs::worker_state::gone);
@@ -786,6 +787,23 @@
     EXPECT_EQ(report().worker.state, jobs::worker_state::gone);
 }
 
+// Guards against a task that runs twice: an executor whose deregistration is
+// not acknowledged in time runs on for some seconds.
+TEST_F(agent_service_test, counts_no_executor_as_gone_that_still_answers)
+{
+    begin();
+    auto const order = make_order(0);
+    put_order(order);
+    timers.advance(100ms);
+    ASSERT_TRUE(executor.running.contains(order.run));
+    agent->receive_deregistration("i-1", 1);
+    timers.advance(500ms);
+    EXPECT_NE(report().worker.state, jobs::worker_state::gone);
+    executor.is_refusing = true;
+    timers.advance(500ms);
+    EXPECT_EQ(report().worker.state, jobs::worker_state::gone);
+}
+
 // Guards against giving up the runs of an executor that has restarted under its
 // old id when the deregistration of its predecessor arrives late.
 TEST_F(agent_service_test, ignores_a_late_deregistration)
@@ -797,6 +815,7 @@
     timers.advance(500ms);
     EXPECT_EQ(report().worker.state, jobs::worker_state::ready);
     agent->receive_deregistration("i-1", 2);
+    executor.is_refusing = true;
     timers.advance(500ms);
     EXPECT_EQ(report().worker.state, jobs::worker_state::gone);
 }
