agents: Keep the ends that a stale read of the report lacks

What callers would see: a task that runs again after it is done, when an agent restarts while the store's reads are stale.

Cause: a new process reads the last report once. If the read is stale, as after the store has dropped its history, it misses ends that the process before has acknowledged, so that the executor lists them no more. It stops such a run, takes it as stopped, and after the conflict with the newer report it overwrites the end that this one has.

Ruled out: stale orders, since the feed has to confirm them; an earlier report that is stored late, whose ends the executor still lists.

Change: ends in a report that a conflict shows take precedence over those that were inferred.

--- a/packages/agents/agent_service.cpp
+++ b/packages/agents/agent_service.cpp
@@ -47,9 +47,13 @@
           [this](rows::row const& changed) { receive_order(changed); },
           [this] { on_orders_updated(); }),
       lease_(options_.timing),
-      publisher_(
-          store, timers, options_.agent, options_.timing,
-          [this](std::string const& session) { tracker_.set_session(session); })
+      publisher_(store, timers, options_.agent, options_.timing,
+                 {[this](std::string const& session) {
+                      tracker_.set_session(session);
+                  },
+                  [this](jobs::worker_report const& earlier) {
+                      restore_ends(earlier);
+                  }})
 {
 }
 
@@ -83,8 +87,7 @@
         if (auto const& previous = publisher_.previous_report()) {
             if (worker_.executor.id.empty())
                 update_executor(previous->worker);
-            for (auto const& ended : previous->ended)
-                tracker_.restore_end(ended);
+            restore_ends(*previous);
         }
         infer_executor_from_orders();
         lease_.assume_extended(timers_.now());
@@ -102,6 +105,12 @@
     poll_executor();
 }
 
+void agent_service::restore_ends(jobs::worker_report const& earlier)
+{
+    for (auto const& ended : earlier.ended)
+        tracker_.restore_end(ended);
+}
+
 /// Reads from the store may be stale, so that the orders name a newer
 /// incarnation of the executor than the last report does. That incarnation is
 /// then polled to find out what it runs, and whether it still exists.
--- a/packages/agents/report_publisher.cpp
+++ b/packages/agents/report_publisher.cpp
@@ -16,21 +16,14 @@
 constexpr core::duration min_retry_delay{150};
 constexpr core::duration max_retry_delay{600};
 
-/// @return whether a stored report was written in a session
-bool is_of_session(rows::row const& stored, std::string_view session)
-{
-    auto const report = jobs::decode_report(stored.value);
-    return core::is_ok(report) && core::value(report).session == session;
-}
-
 } // namespace
 
-report_publisher::report_publisher(
-    rows::row_store& store, event::timer_service& timers, std::string agent,
-    jobs::lease_timing timing,
-    std::function<void(std::string const&)> on_session)
+report_publisher::report_publisher(rows::row_store& store,
+                                   event::timer_service& timers,
+                                   std::string agent, jobs::lease_timing timing,
+                                   observer notified)
     : store_(store), timers_(timers), agent_(std::move(agent)),
-      on_session_(std::move(on_session)), session_(timing),
+      observer_(std::move(notified)), session_(timing),
       retry_delays_(min_retry_delay, max_retry_delay)
 {
 }
@@ -83,7 +76,7 @@
                                       {"session", session_.id()},
                                       {"reason", std::string(reason)}});
     is_outdated_ = true;
-    on_session_(session_.id());
+    observer_.on_session(session_.id());
 }
 
 void report_publisher::check_session()
@@ -137,8 +130,13 @@
         version_ = row.version;
         if (row.value == sent_report_)
             return true;
-        if (!is_of_session(row, session_.id()))
-            begin_session("another process has written the report");
+        auto const found = jobs::decode_report(row.value);
+        if (core::is_ok(found) && core::value(found).session == session_.id())
+            continue;
+        begin_session("another process has written the report");
+        // The first read of the report may have been stale.
+        if (core::is_ok(found))
+            observer_.on_earlier_report(core::value(found));
     }
     return false;
 }
--- a/packages/agents/report_publisher.hpp
+++ b/packages/agents/report_publisher.hpp
@@ -28,14 +28,24 @@
     using callback =
         std::function<void(std::optional<core::time_point> sent_at)>;
 
+    /// What the owner is notified of.
+    struct observer
+    {
+        /// Receives the id of each new session.
+        std::function<void(std::string const&)> on_session;
+        /// Receives the stored report of an earlier process, if load() has not
+        /// read it.
+        std::function<void(jobs::worker_report const&)> on_earlier_report;
+    };
+
     /// @param store contains the report
     /// @param timers clock and timers
     /// @param agent the id of the agent
     /// @param timing the lease timing that agent and decider share
-    /// @param on_session called with the id of each new session
+    /// @param notified what the owner is notified of
     report_publisher(rows::row_store& store, event::timer_service& timers,
                      std::string agent, jobs::lease_timing timing,
-                     std::function<void(std::string const&)> on_session);
+                     observer notified);
 
     /// Reads the last report of an earlier process of this agent, until it
     /// succeeds, and begins a session.
@@ -89,7 +99,7 @@
     rows::row_store& store_;
     event::timer_service& timers_;
     std::string agent_;
-    std::function<void(std::string const&)> on_session_;
+    observer observer_;
     agent_session session_;
     std::optional<jobs::worker_report> previous_report_;
     rows::row_version version_ = rows::no_row;
--- a/packages/agents/run_tracker.cpp
+++ b/packages/agents/run_tracker.cpp
@@ -42,7 +42,7 @@
 void run_tracker::restore_end(jobs::ended_run ended)
 {
     auto const found = runs_.find(ended.run);
-    if (found != runs_.end() && !found->second.ended)
+    if (found != runs_.end())
         found->second.ended = std::move(ended);
 }
 
--- a/packages/agents/run_tracker.hpp
+++ b/packages/agents/run_tracker.hpp
@@ -61,8 +61,8 @@
     /// started before a snapshot shows that it has ended.
     void remove_order(jobs::run_id const& run);
 
-    /// Restores an end from the last stored report. Has no effect on runs that
-    /// have no order.
+    /// Restores an end from the last stored report. It takes precedence over
+    /// one that was inferred since. Has no effect on runs that have no order.
     void restore_end(jobs::ended_run ended);
 
     /// Sets the session of the agent. Runs whose orders name another one are
--- a/tests/agents/agent_service_test.cpp
+++ b/tests/agents/agent_service_test.cpp
@@ -272,6 +272,27 @@
     EXPECT_TRUE(executor.running.empty());
 }
 
+// Guards against a task that runs again after it is done: a restarted agent
+// reads a stale report, without an end that the process before it has
+// acknowledged.
+TEST_F(agent_service_test, keeps_an_end_that_a_stale_report_lacks)
+{
+    begin();
+    auto const order = make_order(0);
+    put_order(order);
+    timers.advance(100ms);
+    store.keep_state_for_stale_reads();
+    executor.end(order.run, jobs::run_end::done);
+    timers.advance(200ms);
+    ASSERT_TRUE(executor.ended.empty());
+    store.are_reads_stale = true;
+    replace_agent();
+    begin();
+    timers.advance(3s);
+    ASSERT_EQ(report().ended.size(), 1U);
+    EXPECT_EQ(report().ended[0].end, jobs::run_end::done);
+}
+
 // Guards against a delayed heartbeat that makes a draining executor ready
 // again.
 TEST_F(agent_service_test, ignores_heartbeats_out_of_order)
