gateway: Report no job as unknown by a stale read

An entry whose replica lacks a job reads the job's row from the store before it answers that there is no such job. After the store has dropped its history, that read may be seconds old, and an accepted job was reported as unknown, or its cancellation was dropped.

This is the fault of table_replica in another place: a read older than what the entry knows. Such a read now leaves the question open, and the customer is told to ask again.

Before: reports_no_job_as_unknown_by_a_stale_read failed. After: it passes.

--- a/packages/gateway/customer_service.cpp
+++ b/packages/gateway/customer_service.cpp
@@ -271,8 +271,9 @@
 {
     store_.read(
         rows::layout::single_row_range(rows::layout::job_row(job_id)),
-        [respond = std::move(respond)](rows::page const& page) {
-            if (!page.is_ok)
+        [this, respond = std::move(respond)](rows::page const& page) {
+            // A stale read does not show that the job is unknown.
+            if (!page.is_ok || page.version < work_.version())
                 return respond(make_retryable_reply(call_outcome::unavailable));
             respond(make_reply(page.rows.empty() ? call_outcome::no_job
                                                  : call_outcome::job_state));
--- a/tests/gateway/customer_service_test.cpp
+++ b/tests/gateway/customer_service_test.cpp
@@ -362,5 +362,30 @@
               call_outcome::unavailable);
 }
 
+// Guards against an accepted job that is reported as unknown because the store
+// answers with rows from before its acceptance.
+TEST_F(customer_service_test, reports_no_job_as_unknown_by_a_stale_read)
+{
+    store.keep_state_for_stale_reads();
+    EXPECT_EQ(submit("j1"), call_outcome::accepted);
+    timers.advance(10ms);
+    store.silent_feed_prefix = "";
+    timers.advance(600ms);
+    jobs::submission job;
+    job.job_id = "j2";
+    job.parameters.queue = "q";
+    store.put(rows::layout::job_row("j2"), jobs::encode(job));
+    store.are_reads_stale = true;
+    EXPECT_EQ(send(make_call(call_kind::read, "/q/j2")).outcome,
+              call_outcome::unavailable);
+    EXPECT_EQ(send(make_call(call_kind::cancel, "/q/j2")).outcome,
+              call_outcome::unavailable);
+    store.are_reads_stale = false;
+    EXPECT_EQ(send(make_call(call_kind::read, "/q/j2")).outcome,
+              call_outcome::job_state);
+    EXPECT_EQ(send(make_call(call_kind::read, "/q/none")).outcome,
+              call_outcome::no_job);
+}
+
 } // namespace
 } // namespace sequoiaroute::gateway
