soak: Follow the protocol where the stand-ins did not, and add hooks

Cause: the stand-ins were kinder than the platform. Executors granted leases of any length, and took no lease from a start that they refused as old. A store that became silent still answered the calls that were waiting, such as long polls of the feed, so that an agent in an outage learnt of one more change.

Change: both follow the protocol now. The store can also respond with 429 and calls a function after each commit; the system names the entry that holds the lease, and its time limits; open jobs can be cancelled together. Executors can fail their runs and take longer to stop them. Nothing uses the additions yet.

--- a/tests/soak/customer_simulator.cpp
+++ b/tests/soak/customer_simulator.cpp
@@ -170,17 +170,31 @@
          });
 }
 
-void customer_simulator::poll_states()
+std::vector<std::string> customer_simulator::open_paths()
 {
-    std::vector<std::string> open_paths;
+    std::vector<std::string> paths;
     for (auto const& path : accepted_paths_) {
         auto const& job = checker_.jobs()[path.substr(path.rfind('/') + 1)];
         if (!job.is_final)
-            open_paths.push_back(path);
+            paths.push_back(path);
+    }
+    return paths;
+}
+
+void customer_simulator::poll_states()
+{
+    auto const paths = open_paths();
+    for (std::size_t index = 0; index < std::min(paths.size(), states_per_poll);
+         ++index)
+        poll_state(paths[random_.below(paths.size())]);
+}
+
+void customer_simulator::cancel_jobs(double share)
+{
+    for (auto const& path : open_paths()) {
+        if (random_.happens(share))
+            cancel(path);
     }
-    for (std::size_t index = 0;
-         index < std::min(open_paths.size(), states_per_poll); ++index)
-        poll_state(open_paths[random_.below(open_paths.size())]);
 }
 
 void customer_simulator::poll_state(std::string const& path)
--- a/tests/soak/customer_simulator.hpp
+++ b/tests/soak/customer_simulator.hpp
@@ -44,6 +44,9 @@
     /// Submits no more jobs; states are still polled.
     void finish() { is_finishing_ = true; }
 
+    /// Cancels a share of the accepted jobs that have not ended.
+    void cancel_jobs(double share);
+
     /// @return whether every accepted job that was not cancelled is known to
     ///         have ended
     bool are_all_final() const;
@@ -64,6 +67,8 @@
     /// @param attempts_left how often to try, including this time
     void send(std::string const& path, std::string const& body,
               int attempts_left);
+    /// @return the paths of the accepted jobs that are not known to have ended
+    std::vector<std::string> open_paths();
     /// Polls the states of some random jobs that have not ended.
     void poll_states();
     void poll_state(std::string const& path);
--- a/tests/soak/executor_model.cpp
+++ b/tests/soak/executor_model.cpp
@@ -9,8 +9,6 @@
 
 namespace {
 
-/// How long a run takes to stop.
-constexpr core::duration stop_time{150};
 /// How long a member of a gang waits for the others to start.
 constexpr core::duration gang_start_timeout{3000};
 /// Speed of the executor's clock relative to the real time.
@@ -42,10 +40,11 @@
 }
 
 executor_model::executor_model(std::string name, jobs::resources capacity,
+                               core::duration max_lease,
                                core::clock const& clock,
                                invariant_checker& checker, gang_registry& gangs)
-    : name_(std::move(name)), capacity_(capacity), clock_(clock),
-      checker_(checker), gangs_(gangs)
+    : name_(std::move(name)), capacity_(capacity), max_lease_(max_lease),
+      clock_(clock), checker_(checker), gangs_(gangs)
 {
 }
 
@@ -104,8 +103,10 @@
         return start_result::started;
     auto const highest_refused = highest_refused_runs_.find(run.task);
     if (highest_refused != highest_refused_runs_.end() &&
-        run.run <= highest_refused->second)
+        run.run <= highest_refused->second) {
+        extend_lease(deadline_ms);
         return start_result::old;
+    }
     if (deadline_ms < clock_ms())
         return start_result::late;
     extend_lease(deadline_ms);
@@ -142,7 +143,8 @@
 void executor_model::extend_lease(std::int64_t deadline_ms)
 {
     check_lease();
-    deadline_ms_ = std::max(deadline_ms_, deadline_ms);
+    auto const latest = clock_ms() + max_lease_.count();
+    deadline_ms_ = std::max(deadline_ms_, std::min(deadline_ms, latest));
 }
 
 void executor_model::acknowledge_ends(std::int64_t number)
@@ -201,6 +203,8 @@
     }
     if (!is_hanging)
         record.work_done += passed;
+    if (fails_runs && 2 * record.work_done > plan.work_time)
+        return end(run, jobs::run_end::failed);
     if (record.work_done < plan.work_time)
         return;
     if (plan.gang_size > 0)
--- a/tests/soak/executor_model.hpp
+++ b/tests/soak/executor_model.hpp
@@ -80,12 +80,13 @@
 
     /// @param name the id of the executor
     /// @param capacity reported, but not enforced
+    /// @param max_lease the longest lease that it grants
     /// @param clock the real time
     /// @param checker is notified of the starts and ends of runs
     /// @param gangs shared by all executors
     executor_model(std::string name, jobs::resources capacity,
-                   core::clock const& clock, invariant_checker& checker,
-                   gang_registry& gangs);
+                   core::duration max_lease, core::clock const& clock,
+                   invariant_checker& checker, gang_registry& gangs);
 
     /// Starts the executor without any state of its former incarnation.
     void begin_incarnation();
@@ -107,7 +108,7 @@
     /// @param deadline_ms extends the lease to this time of its own clock
     start_result start(jobs::run_id const& run, std::string const& payload,
                        std::int64_t deadline_ms);
-    /// Stops a run after a short delay. If the run is not running, it and
+    /// Stops a run after the stop time. If the run is not running, it and
     /// earlier runs of its task will be refused.
     void stop(jobs::run_id const& run);
     /// Extends the lease; runs end once it has expired.
@@ -125,7 +126,12 @@
     }
     std::vector<listed_end> const& ends() const { return ends_; }
 
+    /// How long a run takes to stop, unless a fault makes it longer.
+    static constexpr core::duration usual_stop_time{150};
+
     bool is_hanging = false; ///< runs make no progress
+    bool fails_runs = false; ///< runs fail half-way through their work
+    core::duration stop_time = usual_stop_time;
 
 private:
     using run_map = std::map<jobs::run_id, running_run>;
@@ -142,6 +148,7 @@
 
     std::string name_;
     jobs::resources capacity_;
+    core::duration max_lease_;
     core::clock const& clock_;
     invariant_checker& checker_;
     gang_registry& gangs_;
--- a/tests/soak/store_server.cpp
+++ b/tests/soak/store_server.cpp
@@ -116,6 +116,8 @@
         return;
     if (faults.mode == store_faults::response::refused)
         return respond(answer(503));
+    if (faults.mode == store_faults::response::throttled)
+        return respond(answer(429));
     parameters query;
     for (auto const part : absl::StrSplit(request.query, '&')) {
         std::pair<std::string, std::string> const pair =
@@ -124,6 +126,9 @@
     }
     event::http_responder const respond_delayed = [this,
                                                    respond](auto const& reply) {
+        // A call that was waiting when the store became silent.
+        if (faults.mode == store_faults::response::silent)
+            return;
         if (faults.delay == core::duration(0))
             return respond(reply);
         call_later(faults.delay, [respond, reply] { respond(reply); });
@@ -167,19 +172,23 @@
     }
     bool const is_response_lost =
         random_.happens(faults.lost_response_probability);
-    store_.commit(
-        std::move(transaction), core::duration(1000),
-        [respond, is_response_lost](rows::commit_result const& result) {
-            if (is_response_lost)
-                return;
-            json reply{{"NowMs", result.store_time.count()}};
-            if (result.outcome == rows::commit_outcome::conflict) {
-                reply["rows"] = to_json(result.current);
-                return respond(answer(412, reply));
-            }
-            reply["Ver"] = result.version;
-            respond(answer(200, reply));
-        });
+    store_.commit(transaction, core::duration(1000),
+                  [this, transaction, respond,
+                   is_response_lost](rows::commit_result const& result) {
+                      bool const is_applied =
+                          result.outcome == rows::commit_outcome::committed;
+                      if (is_applied && on_commit != nullptr)
+                          on_commit(transaction);
+                      if (is_response_lost)
+                          return;
+                      json reply{{"NowMs", result.store_time.count()}};
+                      if (result.outcome == rows::commit_outcome::conflict) {
+                          reply["rows"] = to_json(result.current);
+                          return respond(answer(412, reply));
+                      }
+                      reply["Ver"] = result.version;
+                      respond(answer(200, reply));
+                  });
 }
 
 void store_server::read(parameters const& query,
--- a/tests/soak/store_server.hpp
+++ b/tests/soak/store_server.hpp
@@ -6,6 +6,7 @@
 #include "soak/random_source.hpp"
 #include "support/memory_row_store.hpp"
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -18,8 +19,9 @@
     enum class response
     {
         normal,
-        refused, ///< status 503
-        silent,  ///< nothing is done, and no response is sent
+        refused,   ///< status 503
+        throttled, ///< status 429
+        silent,    ///< nothing is done, and no response is sent
     };
 
     response mode = response::normal;
@@ -45,6 +47,8 @@
            support::memory_row_store& store, random_source& random);
 
     store_faults faults; ///< the faults to inject from now on
+    /// Called when a commit was applied, before the response is sent.
+    std::function<void(rows::transaction const&)> on_commit;
 
 private:
     using parameters = std::map<std::string, std::string>;
--- a/tests/soak/test_system.cpp
+++ b/tests/soak/test_system.cpp
@@ -1,7 +1,10 @@
 #include "soak/test_system.hpp"
 
+#include "rows/row_layout.hpp"
+#include "scheduler/commit_queue.hpp"
 #include "wire_json.hpp"
 
+#include <algorithm>
 #include <csignal>
 #include <fstream>
 
@@ -34,6 +37,8 @@
 
 /// Millicores, megabytes of memory, accelerators.
 jobs::resources const executor_capacity{16'000, 64'000, 8};
+/// The longest time that executors take to stop a run.
+constexpr core::duration max_stop_time{300};
 /// How long after the start or end of a fault responses may still break off.
 constexpr core::duration broken_response_grace{7000};
 /// The third byte of all addresses of this run.
@@ -138,13 +143,13 @@
         added.name,
         fmt::format("[process]\nnode = {}\n[listen]\ncustomers = {}\n"
                     "readiness = {}\nentries = {}\nmetrics = {}\n[store]\n"
-                    "address = {}\n[bounds]\nlease = {}ms\nstop = 300ms\n"
+                    "address = {}\n[bounds]\nlease = {}ms\nstop = {}ms\n"
                     "grace = 5s\nstate_kept = 120s\n",
                     added.name, own_address(customer_port),
                     own_address(readiness_port), own_address(notice_port),
                     own_address(metrics_port),
                     address(store_proxy_network, index, store_port),
-                    options_.max_lease.count()));
+                    options_.max_lease.count(), max_stop_time.count()));
     added.arguments = {(binaries_ / "packages/programs/sequoiaroute").string(),
                        "schedule", "--settings=" + settings};
     entry_endpoints_.push_back({added.name, own_address(customer_port), false});
@@ -169,17 +174,17 @@
             "[process]\nnode = {}\naddress = {}\n[listen]\n"
             "heartbeats = {}\nnotices = {}\nmetrics = {}\n[executor]\n"
             "address = {}\n[store]\naddress = {}\n[bounds]\n"
-            "lease = {}ms\nstop = 300ms\n",
+            "lease = {}ms\nstop = {}ms\n",
             added.name, host(agent_network, index), own_address(heartbeat_port),
             own_address(notice_port), own_address(metrics_port), executor,
             address(store_proxy_network, first_agent_index + index, store_port),
-            options_.max_lease.count()));
+            options_.max_lease.count(), max_stop_time.count()));
     added.arguments = {
         (binaries_ / "packages/programs/sequoiaroute-agent").string(),
         "--store_orders", "--settings=" + settings};
     executor_models_.push_back(std::make_unique<executor_model>(
-        fmt::format("i-{}", index + 1), executor_capacity, clock_, checker_,
-        gangs_));
+        fmt::format("i-{}", index + 1), executor_capacity, options_.max_lease,
+        clock_, checker_, gangs_));
     SEQUOIA_TRY_INTO(
         auto server,
         executor_server::create(loop_, {executor, own_address(heartbeat_port)},
@@ -216,6 +221,33 @@
         customers_->key = key;
 }
 
+jobs::lease_timing test_system::timing() const
+{
+    return {options_.max_lease, max_stop_time};
+}
+
+system_process* test_system::decider()
+{
+    auto const row = store_.find(rows::layout::lease_row());
+    if (!row)
+        return nullptr;
+    auto const lease = scheduler::decode_lease(row->value);
+    if (!core::is_ok(lease))
+        return nullptr;
+    auto const found =
+        std::find_if(entries_.begin(), entries_.end(), [&](auto const& entry) {
+            return entry.name == core::value(lease).holder;
+        });
+    return found == entries_.end() ? nullptr : &*found;
+}
+
+void test_system::set_store_faults(system_process& target,
+                                   store_faults const& faults)
+{
+    target.store->faults = faults;
+    expect_broken_responses(target);
+}
+
 void test_system::expect_broken_responses(system_process& target)
 {
     target.broken_responses_allowed_until = loop_.now() + broken_response_grace;
--- a/tests/soak/test_system.hpp
+++ b/tests/soak/test_system.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "jobs/lease_timing.hpp"
 #include "scenarios/process_set.hpp"
 #include "soak/customer_simulator.hpp"
 #include "soak/executor_server.hpp"
@@ -66,6 +67,10 @@
         return executor_models_;
     }
     support::memory_row_store& store() { return store_; }
+    /// @return the lease timing that the processes are configured for
+    jobs::lease_timing timing() const;
+    /// @return the entry that holds the lease in the store; nullptr if none
+    system_process* decider();
     customer_simulator& customers() { return *customers_; }
     invariant_checker& checker() { return checker_; }
     scenarios::process_set& processes() { return processes_; }
@@ -85,6 +90,9 @@
     /// @param key the only valid customer key from now on
     void write_rules(std::string const& key);
 
+    /// Sets the faults of the store towards a process.
+    void set_store_faults(system_process& target, store_faults const& faults);
+
     /// Allows a process to break off responses for a while, because a fault has
     /// begun or ended.
     void expect_broken_responses(system_process& target);
