soak: Inject the faults that the platform allows and the soak lacked

Cause: the soak held on, but it lacked many orders of events that the platform allows. Its executors were always reachable and restarted only with a gap, their deregistrations and heartbeats arrived in order, and no fault was aimed at the decider or at the ends of the time limits.

Deregistrations name the incarnation, as the protocol says; late orders take up to 12 s rather than 8 s.

--- a/tests/soak/executor_server.cpp
+++ b/tests/soak/executor_server.cpp
@@ -19,7 +19,14 @@
 constexpr core::duration heartbeat_period{500};
 /// When a late order is executed.
 constexpr core::duration min_late_delay{2000};
-constexpr core::duration max_late_delay{8000};
+constexpr core::duration max_late_delay{12'000};
+/// When a late message to the agent arrives.
+constexpr core::duration min_message_delay{300};
+constexpr core::duration max_message_delay{6000};
+constexpr core::duration message_timeout{500};
+/// How long an executor runs on if its deregistration is not acknowledged.
+constexpr core::duration min_unacknowledged_time{500};
+constexpr core::duration max_unacknowledged_time{4000};
 /// How many ends one response lists.
 constexpr std::size_t max_listed_ends = 500;
 
@@ -82,9 +89,28 @@
     return core::success();
 }
 
+void executor_server::update_listener()
+{
+    bool const is_listening = server_ != nullptr;
+    bool const must_listen =
+        model_.is_up() && faults.to_agent != executor_faults::path::refused;
+    if (is_listening && !must_listen)
+        close_listener();
+    // Tried again with the next tick if it fails.
+    if (!is_listening && must_listen)
+        static_cast<void>(listen());
+}
+
+void executor_server::close_listener()
+{
+    pending_holds_.clear();
+    server_.reset();
+}
+
 void executor_server::begin_incarnation()
 {
     is_draining_ = false;
+    has_deregistered_ = false;
     sequence_ = 0;
     last_end_count_ = 0;
     model_.begin_incarnation();
@@ -94,17 +120,9 @@
 void executor_server::tick()
 {
     model_.advance();
-    if (is_draining_ && loop_.now() > drain_end_) {
-        client_.call({endpoints_.heartbeats,
-                      "POST",
-                      "/sequoiaroute/Instances.Deregister/" + model_.id(),
-                      {},
-                      "{}",
-                      core::duration(500)},
-                     [](auto const&) {});
-        crash(random_.between(core::duration(300), core::duration(1500)));
-        return;
-    }
+    update_listener();
+    if (is_draining_ && loop_.now() > drain_end_)
+        return leave();
     bool const has_new_end = model_.ends().size() > last_end_count_;
     last_end_count_ = model_.ends().size();
     auto const now = loop_.now();
@@ -114,10 +132,62 @@
             continue;
         auto const respond = hold->respond;
         pending_holds_.erase(hold);
-        send_run_lists(respond);
+        if (!loses_responses())
+            send_run_lists(respond);
     }
 }
 
+void executor_server::leave()
+{
+    using deregistration = executor_faults::deregistration;
+    if (!has_deregistered_) {
+        has_deregistered_ = true;
+        auto const path = "/sequoiaroute/Instances.Deregister/" + model_.id();
+        auto const body = json{{"born", model_.born_ms()}}.dump();
+        if (faults.leaving == deregistration::late)
+            send_later(path, body);
+        else if (faults.leaving != deregistration::lost)
+            send(path, body);
+        if (faults.leaving != deregistration::acknowledged) {
+            drain_end_ = loop_.now() + random_.between(min_unacknowledged_time,
+                                                       max_unacknowledged_time);
+            return;
+        }
+    }
+    crash(random_.between(core::duration(300), core::duration(1500)));
+}
+
+bool executor_server::loses_messages() const
+{
+    return faults.to_agent == executor_faults::path::silent ||
+           faults.to_agent == executor_faults::path::refused;
+}
+
+bool executor_server::loses_responses() const
+{
+    return faults.to_agent == executor_faults::path::silent ||
+           faults.to_agent == executor_faults::path::responses_lost;
+}
+
+void executor_server::send(std::string const& path, std::string const& body)
+{
+    if (loses_messages())
+        return;
+    client_.call(
+        {endpoints_.heartbeats, "POST", path, {}, body, message_timeout},
+        [](auto const&) {
+            // A lost heartbeat is not repeated: the next one follows soon.
+        });
+}
+
+void executor_server::send_later(std::string const& path,
+                                 std::string const& body)
+{
+    late_message_timers_.push_back(
+        loop_.after(random_.between(min_message_delay, max_message_delay),
+                    [this, path, body] { send(path, body); }));
+}
+
 void executor_server::send_heartbeat()
 {
     if (!model_.is_up())
@@ -138,16 +208,11 @@
         body["RemainingMs"] =
             std::max<std::int64_t>((drain_end_ - loop_.now()).count(), 0);
     }
-    client_.call({endpoints_.heartbeats,
-                  "POST",
-                  "/sequoiaroute/Instances.Heartbeat/" + model_.id(),
-                  {},
-                  body.dump(),
-                  core::duration(500)},
-                 [](auto const&) {
-                     // A lost heartbeat is not repeated: the next one follows
-                     // soon.
-                 });
+    auto const path = "/sequoiaroute/Instances.Heartbeat/" + model_.id();
+    if (faults.late_heartbeat_probability > 0 &&
+        random_.happens(faults.late_heartbeat_probability))
+        return send_later(path, body.dump());
+    send(path, body.dump());
 }
 
 void executor_server::drain(core::duration remaining)
@@ -164,22 +229,38 @@
     if (!model_.is_up())
         return;
     model_.end_incarnation();
-    pending_holds_.clear();
     late_order_timers_.clear();
-    server_.reset();
+    close_listener();
     restart_timer_ = loop_.after(downtime, [this] {
-        if (core::is_ok(listen()))
-            begin_incarnation();
+        begin_incarnation();
+        update_listener();
     });
 }
 
+void executor_server::restart_unnoticed()
+{
+    if (!model_.is_up())
+        return;
+    model_.end_incarnation();
+    late_order_timers_.clear();
+    pending_holds_.clear();
+    begin_incarnation();
+}
+
 void executor_server::serve(event::http_request const& request,
                             event::http_responder const& respond)
 {
+    auto const path = faults.to_agent;
+    if (path == executor_faults::path::silent ||
+        path == executor_faults::path::requests_lost)
+        return;
+    auto answer_to = respond;
+    if (loses_responses())
+        answer_to = [](auto const&) {};
     model_.advance();
     if (request.path == "/sequoiaroute/hold")
-        return hold(request.body, respond);
-    serve_order(request, respond);
+        return hold(request.body, answer_to);
+    serve_order(request, answer_to);
 }
 
 void executor_server::serve_order(event::http_request const& request,
@@ -187,7 +268,9 @@
 {
     if (request.headers.at(0).second != model_.id())
         return respond(answer(421, json::object()));
-    if (!random_.happens(late_order_probability))
+    if (faults.order_refusal != 0)
+        return respond(answer(faults.order_refusal, json::object()));
+    if (!random_.happens(faults.late_order_probability))
         return execute_order(request.path, request.body, respond);
     late_order_timers_.push_back(loop_.after(
         random_.between(min_late_delay, max_late_delay),
--- a/tests/soak/executor_server.hpp
+++ b/tests/soak/executor_server.hpp
@@ -12,6 +12,37 @@
 
 namespace sequoiaroute::soak {
 
+/// Faults of an executor towards its agent, and of the path between them.
+struct executor_faults
+{
+    enum class path
+    {
+        normal,
+        silent,         ///< nothing arrives in either direction
+        requests_lost,  ///< only the executor's messages arrive
+        responses_lost, ///< calls are executed, but no response arrives
+        refused,        ///< connections are refused; no message arrives
+    };
+
+    enum class deregistration
+    {
+        acknowledged,
+        /// It arrives, but the acknowledgement does not.
+        unacknowledged,
+        late, ///< it arrives seconds later
+        lost,
+    };
+
+    path to_agent = path::normal;
+    /// Without an acknowledgement the executor ends seconds later.
+    deregistration leaving = deregistration::acknowledged;
+    int order_refusal = 0; ///< status with which orders are refused; 0: none
+    /// The probability that an order is executed late and without a response.
+    double late_order_probability = 0;
+    /// The probability that a heartbeat arrives late, and so out of order.
+    double late_heartbeat_probability = 0;
+};
+
 /// Serves the HTTP interface of a simulated executor for its agent, and sends
 /// heartbeats to the agent.
 class executor_server
@@ -41,8 +72,13 @@
     /// Ends abruptly, and restarts after the downtime.
     void crash(core::duration downtime);
 
-    /// The probability that an order is executed late and without a response.
-    double late_order_probability = 0;
+    /// Ends and starts again at once, as behind a cut: no connection shows it.
+    void restart_unnoticed();
+
+    /// Closes all connections; new ones are accepted soon after.
+    void reset_connections() { close_listener(); }
+
+    executor_faults faults; ///< the faults to inject from now on
 
 private:
     /// A long poll of the agent for ends of runs.
@@ -56,9 +92,19 @@
                     executor_model& model, random_source& random,
                     std::string rack);
     core::status listen();
+    /// Listens if the executor is up and the path to it allows connections.
+    void update_listener();
+    void close_listener();
     /// Advances the model and answers long polls.
     void tick();
     void send_heartbeat();
+    /// Deregisters, and ends once that is acknowledged, or a little later.
+    void leave();
+    /// Sends a message to the agent, unless the path loses it.
+    void send(std::string const& path, std::string const& body);
+    void send_later(std::string const& path, std::string const& body);
+    bool loses_messages() const;
+    bool loses_responses() const;
     void begin_incarnation();
     void serve(event::http_request const& request,
                event::http_responder const& respond);
@@ -80,11 +126,13 @@
     event::evhttp_client client_;
     std::unique_ptr<event::http_server> server_;
     bool is_draining_ = false;
+    bool has_deregistered_ = false;
     core::time_point drain_end_{};
     std::int64_t sequence_ = 0;
     std::size_t last_end_count_ = 0; ///< ends listed at the last tick
     std::list<pending_hold> pending_holds_;
     std::list<std::unique_ptr<event::timer>> late_order_timers_;
+    std::list<std::unique_ptr<event::timer>> late_message_timers_;
     std::unique_ptr<event::timer> tick_timer_;
     std::unique_ptr<event::timer> heartbeat_timer_;
     std::unique_ptr<event::timer> restart_timer_;
--- a/tests/soak/fault_injector.cpp
+++ b/tests/soak/fault_injector.cpp
@@ -11,9 +11,10 @@
 /// The time between two faults.
 constexpr core::duration min_fault_delay{150};
 constexpr core::duration max_fault_delay{900};
+/// Faults of processes last for many seconds, so they come less often.
+constexpr int process_fault_delay_factor = 3;
 constexpr core::duration min_fault_duration{300};
 constexpr core::duration max_fault_duration{4000};
-constexpr core::duration min_restart_delay{300};
 // The store works too briefly between outages for every report to get through.
 constexpr core::duration min_outage{1200};
 constexpr core::duration max_outage{4400};
@@ -26,7 +27,10 @@
 
 fault_injector::fault_injector(event::event_loop& loop, random_source& random,
                                test_system& system, selection selected)
-    : loop_(loop), random_(random), system_(system), selected_(selected)
+    : loop_(loop), random_(random), system_(system), selected_(selected),
+      schedule_(loop, random, system),
+      executor_faults_(random, system, schedule_),
+      process_faults_(random, system, schedule_)
 {
 }
 
@@ -34,12 +38,14 @@
 {
     if (selected_ == selection::store_outages)
         return begin_store_outage();
-    next_fault_timer_ =
-        loop_.after(random_.between(min_fault_delay, max_fault_delay), [this] {
-            inject_fault();
-            if (!is_healed_)
-                start();
-        });
+    auto const factor =
+        selected_ == selection::processes ? process_fault_delay_factor : 1;
+    auto const delay = random_.between(min_fault_delay, max_fault_delay);
+    next_fault_timer_ = loop_.after(factor * delay, [this] {
+        inject_selected_fault();
+        if (!is_healed_)
+            start();
+    });
 }
 
 void fault_injector::begin_store_outage()
@@ -49,7 +55,7 @@
     set_store_faults(nullptr, [](store_faults& faults) {
         faults.mode = store_faults::response::silent;
     });
-    begin_fault(
+    schedule_.begin(
         "store outage",
         [this] {
             set_store_faults(nullptr,
@@ -76,20 +82,22 @@
     }
 }
 
-void fault_injector::begin_fault(std::string const& kind,
-                                 std::function<void()> end,
-                                 core::duration duration)
-{
-    ++fault_counts_[kind];
-    fault_timers_.push_back(loop_.after(duration, std::move(end)));
-}
-
 system_process& fault_injector::pick_process()
 {
     auto& group = random_.happens(0.6) ? system_.entries() : system_.agents();
     return group[random_.below(group.size())];
 }
 
+void fault_injector::inject_selected_fault()
+{
+    auto const group = selected_ == selection::mixed ? random_.below(3) : 0;
+    if (selected_ == selection::executors || group == 1)
+        return executor_faults_.inject();
+    if (selected_ == selection::processes || group == 2)
+        return process_faults_.inject();
+    inject_fault();
+}
+
 void fault_injector::inject_fault()
 {
     switch (random_.below(5)) {
@@ -112,7 +120,7 @@
         random_.between(min_fault_duration, max_fault_duration);
     if (random_.happens(0.2)) {
         system_.store().drop_history();
-        ++fault_counts_["history dropped"];
+        schedule_.count("history dropped");
         return;
     }
     auto const kind = random_.below(5);
@@ -134,7 +142,7 @@
     constexpr std::array names{"store refuses calls", "store is silent",
                                "store is slow", "store loses responses",
                                "store writes late"};
-    begin_fault(
+    schedule_.begin(
         fmt::format("{}{}", names.at(kind), affects_all ? " for all" : ""),
         [this, only] {
             set_store_faults(only, [](store_faults& faults) { faults = {}; });
@@ -151,16 +159,16 @@
         random_.between(min_fault_duration, max_fault_duration);
     switch (random_.below(4)) {
     case 0:
-        ++fault_counts_["connections reset"];
+        schedule_.count("connections reset");
         return proxy.reset_connections();
     case 1:
-        ++fault_counts_["connections stalled"];
+        schedule_.count("connections stalled");
         return proxy.stall_connections();
     case 2: {
         bool const drops_to_server = random_.happens(0.5);
         bool const drops_to_client = !drops_to_server || random_.happens(0.5);
         proxy.drop_data(drops_to_server, drops_to_client);
-        return begin_fault(
+        return schedule_.begin(
             "link cut",
             [this, &proxy, &target] {
                 proxy.drop_data(false, false);
@@ -171,23 +179,12 @@
     default:
         proxy.set_delay(
             random_.between(core::duration(20), core::duration(300)));
-        return begin_fault(
+        return schedule_.begin(
             "link delayed", [&proxy] { proxy.set_delay(core::duration(0)); },
             duration);
     }
 }
 
-void fault_injector::restart_later(system_process& target)
-{
-    fault_timers_.push_back(
-        loop_.after(random_.between(min_restart_delay, max_fault_duration),
-                    [this, &target] {
-                        if (target.is_running)
-                            return restart_later(target);
-                        system_.start(target);
-                    }));
-}
-
 void fault_injector::inject_process_fault()
 {
     auto& target = pick_process();
@@ -195,20 +192,20 @@
         return;
     switch (random_.below(4)) {
     case 0:
-        ++fault_counts_["process killed"];
+        schedule_.count("process killed");
         system_.kill(target);
-        return restart_later(target);
+        return schedule_.restart_later(target);
     case 1:
-        ++fault_counts_["process stopped"];
+        schedule_.count("process stopped");
         system_.terminate(target);
-        return restart_later(target);
+        return schedule_.restart_later(target);
     case 2:
         system_.freeze(target);
-        return begin_fault(
+        return schedule_.begin(
             "process frozen", [this, &target] { system_.thaw(target); },
             random_.between(min_fault_duration, max_fault_duration));
     default:
-        ++fault_counts_["settings signal"];
+        schedule_.count("settings signal");
         system_.processes().send_signal(target.name, SIGHUP);
     }
 }
@@ -222,27 +219,27 @@
         random_.between(min_fault_duration, max_fault_duration);
     switch (random_.below(4)) {
     case 0:
-        ++fault_counts_["executor crashes"];
+        schedule_.count("executor crashes");
         return server.crash(duration);
     case 1:
-        ++fault_counts_["executor drains"];
+        schedule_.count("executor drains");
         return server.drain(
             random_.between(core::duration(800), max_fault_duration));
     case 2:
         model.is_hanging = true;
-        return begin_fault(
+        return schedule_.begin(
             "executor hangs", [&model] { model.is_hanging = false; }, duration);
     default:
-        server.late_order_probability = injected_late_probability;
-        return begin_fault(
+        server.faults.late_order_probability = injected_late_probability;
+        return schedule_.begin(
             "orders executed late",
-            [&server] { server.late_order_probability = 0; }, duration);
+            [&server] { server.faults.late_order_probability = 0; }, duration);
     }
 }
 
 void fault_injector::change_rules()
 {
-    ++fault_counts_["rules changed"];
+    schedule_.count("rules changed");
     system_.write_rules(fmt::format("key-{}", ++key_number_));
 }
 
@@ -250,7 +247,9 @@
 {
     is_healed_ = true;
     next_fault_timer_.reset();
-    fault_timers_.clear();
+    schedule_.clear();
+    executor_faults_.heal();
+    process_faults_.heal();
     for (auto* const group : {&system_.entries(), &system_.agents()}) {
         for (auto& target : *group) {
             target.store->faults = {};
@@ -261,13 +260,9 @@
             if (!target.is_running)
                 system_.start(target);
             else if (target.is_stopping)
-                restart_later(target);
+                schedule_.restart_later(target);
         }
     }
-    for (auto const& model : system_.executor_models())
-        model->is_hanging = false;
-    for (auto const& server : system_.executor_servers())
-        server->late_order_probability = 0;
 }
 
 } // namespace sequoiaroute::soak
--- a/tests/soak/fault_injector.hpp
+++ b/tests/soak/fault_injector.hpp
@@ -1,9 +1,10 @@
 #pragma once
 
-#include "soak/test_system.hpp"
+#include "soak/executor_fault_injector.hpp"
+#include "soak/fault_schedule.hpp"
+#include "soak/process_fault_injector.hpp"
 
 #include <functional>
-#include <list>
 #include <map>
 #include <memory>
 #include <string>
@@ -18,10 +19,13 @@
     /// Which faults are injected.
     enum class selection
     {
-        all,
+        all, ///< those that this class chooses itself
         /// The store is silent for all processes, again and again, and works
         /// for a second or two in between.
         store_outages,
+        executors, ///< those of executor_fault_injector
+        processes, ///< those of process_fault_injector
+        mixed,     ///< all, executors and processes
     };
 
     /// @param loop runs the timers
@@ -41,10 +45,12 @@
     /// @return how many faults of each kind were injected
     std::map<std::string, std::size_t> const& counts() const
     {
-        return fault_counts_;
+        return schedule_.counts();
     }
 
 private:
+    /// Injects a fault of the selection.
+    void inject_selected_fault();
     void inject_fault();
     /// Begins an outage of the store, and schedules the next one.
     void begin_store_outage();
@@ -52,12 +58,6 @@
     /// @param only the process; nullptr for all
     void set_store_faults(system_process const* only,
                           std::function<void(store_faults&)> const& change);
-    /// Counts a fault and schedules its end.
-    /// @param kind the kind under which it is counted
-    /// @param end ends the fault
-    /// @param duration how long the fault lasts
-    void begin_fault(std::string const& kind, std::function<void()> end,
-                     core::duration duration);
     /// Makes the store fail for one process or for all.
     void inject_store_fault();
     /// Disturbs the connections of one process to the store.
@@ -68,8 +68,6 @@
     void change_rules();
     /// @return a random entry or agent
     system_process& pick_process();
-    /// Starts a process after a random delay, once it has ended.
-    void restart_later(system_process& target);
 
     event::event_loop& loop_;
     random_source& random_;
@@ -77,10 +75,10 @@
     selection selected_;
     bool is_healed_ = false;
     std::size_t key_number_ = 1; ///< of the newest customer key
-    std::map<std::string, std::size_t> fault_counts_;
+    fault_schedule schedule_;
+    executor_fault_injector executor_faults_;
+    process_fault_injector process_faults_;
     std::unique_ptr<event::timer> next_fault_timer_;
-    std::list<std::unique_ptr<event::timer>>
-        fault_timers_; ///< ends and restarts
 };
 
 } // namespace sequoiaroute::soak
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <filesystem>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -23,7 +24,7 @@
 ABSL_FLAG(std::size_t, entries, 3, "number of entries");
 ABSL_FLAG(std::size_t, workers, 4, "number of workers");
 ABSL_FLAG(std::string, faults, "all",
-          "all, or store_outages for outages of the store in quick succession");
+          "all, store_outages, executors, processes or mixed; see README.md");
 ABSL_FLAG(int, lease_ms, 2000, "the longest lease that executors grant");
 ABSL_FLAG(double, wide_jobs, 0,
           "share of the jobs that have hundreds of short tasks");
@@ -55,11 +56,16 @@
 
 std::optional<fault_selection> parse_faults(std::string const& name)
 {
-    if (name == "all")
-        return fault_selection::all;
-    if (name == "store_outages")
-        return fault_selection::store_outages;
-    return std::nullopt;
+    static std::map<std::string, fault_selection> const selections{
+        {"all", fault_selection::all},
+        {"store_outages", fault_selection::store_outages},
+        {"executors", fault_selection::executors},
+        {"processes", fault_selection::processes},
+        {"mixed", fault_selection::mixed}};
+    auto const found = selections.find(name);
+    if (found == selections.end())
+        return std::nullopt;
+    return found->second;
 }
 
 /// One run of the soak test: waits until the system has started, injects faults
@@ -176,7 +182,8 @@
         return EXIT_FAILURE;
     auto const faults = parse_faults(absl::GetFlag(FLAGS_faults));
     if (!faults) {
-        fmt::print("--faults must be all or store_outages\n");
+        fmt::print("--faults must be all, store_outages, executors, processes "
+                   "or mixed\n");
         return EXIT_FAILURE;
     }
     auto const directory = make_directory();
