--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -5,6 +5,7 @@
 #include <cstdio>
 #include <cstdlib>
 #include <filesystem>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -22,10 +23,9 @@
           "how many seconds all jobs may take to end after that");
 ABSL_FLAG(std::size_t, entries, 3, "number of entries");
 ABSL_FLAG(std::size_t, workers, 4, "number of workers");
-ABSL_FLAG(
-    std::string, faults, "all",
-    "all, store_outages for outages of the store in quick succession, or "
-    "stale_reads for agents that return while the store's reads are stale");
+ABSL_FLAG(std::string, faults, "all",
+          "all, store_outages, stale_reads, executors, processes or mixed; see "
+          "README.md");
 ABSL_FLAG(int, lease_ms, 2000, "the longest lease that executors grant");
 ABSL_FLAG(double, wide_jobs, 0,
           "share of the jobs that have hundreds of short tasks");
@@ -57,13 +57,17 @@
 
 std::optional<fault_selection> parse_faults(std::string const& name)
 {
-    if (name == "all")
-        return fault_selection::all;
-    if (name == "store_outages")
-        return fault_selection::store_outages;
-    if (name == "stale_reads")
-        return fault_selection::stale_reads;
-    return std::nullopt;
+    static std::map<std::string, fault_selection> const selections{
+        {"all", fault_selection::all},
+        {"store_outages", fault_selection::store_outages},
+        {"stale_reads", fault_selection::stale_reads},
+        {"executors", fault_selection::executors},
+        {"processes", fault_selection::processes},
+        {"mixed", fault_selection::mixed}};
+    auto const found = selections.find(name);
+    if (found == selections.end())
+        return std::nullopt;
+    return found->second;
 }
 
 /// One run of the soak test: waits until the system has started, injects faults
@@ -180,7 +184,9 @@
         return EXIT_FAILURE;
     auto const faults = parse_faults(absl::GetFlag(FLAGS_faults));
     if (!faults) {
-        fmt::print("--faults must be all, store_outages or stale_reads\n");
+        fmt::print(
+            "--faults must be all, store_outages, stale_reads, executors, "
+            "processes or mixed\n");
         return EXIT_FAILURE;
     }
     auto const directory = make_directory();
