soak: Show in violations what the runs that take part went through

Cause: the users' record names, for two runs of a task at the same time, when each was started, told to stop and ended, how it ended, and whether the end was acknowledged. The soak named only the runs and executors at the moment of the second start, when the end of the first is not known yet. So its violations could not be compared with the record, nor could two causes be told apart.

Change: run_history keeps the start, the first stop, the end and the acknowledgement of each run on its executor. A violation keeps the runs that take part, and describes them when the soak is over: both runs of a task, all runs of an overcommitted executor, all runs of a task that ran again after it was done. The soak prints which time_ms of the logs the times count from. What is checked is unchanged.

--- a/tests/soak/executor_model.cpp
+++ b/tests/soak/executor_model.cpp
@@ -41,11 +41,12 @@
     return plan;
 }
 
-executor_model::executor_model(std::string name, jobs::resources capacity,
+executor_model::executor_model(std::string name, std::string agent,
+                               jobs::resources capacity,
                                core::clock const& clock,
                                invariant_checker& checker, gang_registry& gangs)
-    : name_(std::move(name)), capacity_(capacity), clock_(clock),
-      checker_(checker), gangs_(gangs)
+    : name_(std::move(name)), agent_(std::move(agent)), capacity_(capacity),
+      clock_(clock), checker_(checker), gangs_(gangs)
 {
 }
 
@@ -115,7 +116,8 @@
     if (record.plan.gang_size > 0)
         gangs_.gang_of(run).members.insert(run);
     running_.emplace(run, record);
-    checker_.on_start(incarnation(), run, payload, in_use(), capacity_);
+    checker_.on_start({run, incarnation()}, agent_, payload, in_use(),
+                      capacity_);
     return start_result::started;
 }
 
@@ -127,6 +129,7 @@
         highest_refused = std::max(highest_refused, run.run);
     } else if (!found->second.stops_at) {
         found->second.stops_at = clock_.now() + stop_time;
+        checker_.on_stop({run, incarnation()});
     }
 }
 
@@ -152,7 +155,8 @@
         if (listed.number > number)
             return false;
         if (!listed.has_lapsed)
-            checker_.on_acknowledged(listed.run, listed.outcome);
+            checker_.on_acknowledged({listed.run, incarnation()},
+                                     listed.outcome);
         return true;
     });
 }
@@ -166,7 +170,7 @@
     auto& highest_refused = highest_refused_runs_[id.task];
     highest_refused = std::max(highest_refused, id.run);
     ends_.push_back({++last_end_number_, id, outcome});
-    checker_.on_end(id, outcome);
+    checker_.on_end({id, incarnation()}, outcome);
 }
 
 void executor_model::advance()
--- a/tests/soak/executor_model.hpp
+++ b/tests/soak/executor_model.hpp
@@ -79,13 +79,14 @@
     };
 
     /// @param name the id of the executor
+    /// @param agent the name of the agent that controls it
     /// @param capacity reported, but not enforced
     /// @param clock the real time
     /// @param checker is notified of the starts and ends of runs
     /// @param gangs shared by all executors
-    executor_model(std::string name, jobs::resources capacity,
-                   core::clock const& clock, invariant_checker& checker,
-                   gang_registry& gangs);
+    executor_model(std::string name, std::string agent,
+                   jobs::resources capacity, core::clock const& clock,
+                   invariant_checker& checker, gang_registry& gangs);
 
     /// Starts the executor without any state of its former incarnation.
     void begin_incarnation();
@@ -141,6 +142,7 @@
     jobs::resources in_use() const; ///< by all current runs
 
     std::string name_;
+    std::string agent_;
     jobs::resources capacity_;
     core::clock const& clock_;
     invariant_checker& checker_;
--- a/tests/soak/invariant_checker.cpp
+++ b/tests/soak/invariant_checker.cpp
@@ -16,9 +16,21 @@
 
 } // namespace
 
-void invariant_checker::report(std::string violation)
+void invariant_checker::report(std::string text,
+                               std::vector<run_history::key> runs)
 {
-    violations_.push_back(std::move(violation));
+    violations_.push_back({std::move(text), std::move(runs)});
+}
+
+std::vector<std::string> invariant_checker::violations() const
+{
+    std::vector<std::string> texts;
+    for (auto const& found : violations_) {
+        auto& text = texts.emplace_back(found.text);
+        for (auto const& run : found.runs)
+            text += "\n    " + history_.describe(run);
+    }
+    return texts;
 }
 
 bool invariant_checker::is_step_done(std::string const& job,
@@ -38,52 +50,69 @@
     return !submitted.is_gang;
 }
 
-void invariant_checker::on_start(std::string const& executor,
-                                 jobs::run_id const& run,
+void invariant_checker::on_start(run_history::key const& started,
+                                 std::string const& agent,
                                  std::string const& payload,
                                  jobs::resources const& in_use,
                                  jobs::resources const& capacity)
 {
+    auto const& [run, executor] = started;
     ++start_count_;
+    history_.record_start(started, agent);
     auto const run_name = to_text(run);
     auto const job = jobs_.find(run.task.job_id);
     if (job == jobs_.end())
-        return report(fmt::format(
-            "{} was started, but its job was never submitted", run_name));
+        return report(
+            fmt::format("{} was started, but its job was never submitted",
+                        run_name),
+            {started});
     auto const& submitted = job->second;
     if (submitted.payload != payload)
-        report(
-            fmt::format("{} was started with a different payload", run_name));
+        report(fmt::format("{} was started with a different payload", run_name),
+               {started});
     job->second.was_started = true;
     if (submitted.is_cancelled &&
         submitted.cancel_confirmed_at != core::time_point{} &&
         clock_.now() - submitted.cancel_confirmed_at >
             max_start_after_cancellation)
-        report(fmt::format("{} was started long after its cancellation",
-                           run_name));
+        report(
+            fmt::format("{} was started long after its cancellation", run_name),
+            {started});
     if (!in_use.fits_into(capacity)) {
         report(fmt::format("{} exceeds the capacity of {}: {} accelerators, {} "
                            "millicores in use",
                            run_name, executor, in_use.accelerators,
-                           in_use.millicores));
+                           in_use.millicores),
+               history_.running_on(executor));
     }
     if (run.task.step > 0 && !is_step_done(run.task.job_id, run.task.step - 1))
         report(fmt::format("{} was started before the previous step was done",
-                           run_name));
+                           run_name),
+               {started});
     auto& task = tasks_[run.task];
     for (auto const& [other_run, incarnation] : task.running) {
         report(fmt::format("{} was started on {} while {} runs on {}", run_name,
-                           executor, to_text(other_run), incarnation));
+                           executor, to_text(other_run), incarnation),
+               {{other_run, incarnation}, started});
     }
     if (task.is_done_acknowledged || submitted.is_completed)
-        report(fmt::format("{} was started after the task was done", run_name));
+        report(fmt::format("{} was started after the task was done", run_name),
+               history_.runs_of(run.task));
     // A task may run again as long as the end of its run was not acknowledged.
     task.superseded = done_runs_[run.task];
     task.running[run] = executor;
 }
 
-void invariant_checker::on_end(jobs::run_id const& run, jobs::run_end outcome)
+void invariant_checker::on_stop(run_history::key const& stopped)
+{
+    history_.record_stop(stopped);
+}
+
+void invariant_checker::on_end(run_history::key const& ended,
+                               jobs::run_end outcome)
 {
+    auto const& run = ended.run;
+    history_.record_end(ended, outcome);
     auto& task = tasks_[run.task];
     task.running.erase(run);
     if (outcome != jobs::run_end::done)
@@ -92,20 +121,24 @@
     done_runs_[run.task].insert(run);
 }
 
-void invariant_checker::on_acknowledged(jobs::run_id const& run,
+void invariant_checker::on_acknowledged(run_history::key const& ended,
                                         jobs::run_end outcome)
 {
+    auto const& run = ended.run;
+    history_.record_acknowledgement(ended);
     if (outcome != jobs::run_end::done)
         return;
     auto& task = tasks_[run.task];
     task.is_done_acknowledged = true;
     if (task.superseded.contains(run))
         report(fmt::format("{} had ended as done when a later run was started",
-                           to_text(run)));
+                           to_text(run)),
+               history_.runs_of(run.task));
 }
 
 void invariant_checker::on_incarnation_end(std::string const& executor)
 {
+    history_.record_executor_end(executor);
     for (auto& [id, task] : tasks_) {
         std::erase_if(task.running, [&](auto const& entry) {
             return entry.second == executor;
--- a/tests/soak/invariant_checker.hpp
+++ b/tests/soak/invariant_checker.hpp
@@ -3,6 +3,7 @@
 #include "core/clock.hpp"
 #include "jobs/resources.hpp"
 #include "jobs/worker_report.hpp"
+#include "soak/run_history.hpp"
 
 #include <cstdint>
 #include <map>
@@ -35,30 +36,37 @@
 };
 
 /// Checks the invariants of the system while it runs, from what customers and
-/// executors see. Each violation is kept as a line of text.
+/// executors see.
 class invariant_checker
 {
 public:
-    explicit invariant_checker(core::clock const& clock) : clock_(clock) {}
+    explicit invariant_checker(core::clock const& clock)
+        : clock_(clock), history_(clock)
+    {
+    }
 
     /// @return all submitted jobs by id; customers add and update them
     std::map<std::string, submitted_job>& jobs() { return jobs_; }
 
     /// An executor has started a run.
-    /// @param executor the incarnation of the executor
-    /// @param run the run
+    /// @param started the run and the incarnation of the executor
+    /// @param agent the name of the executor's agent
     /// @param payload the payload as the executor received it
     /// @param in_use what the runs of the executor use, this one included
     /// @param capacity the capacity of the executor
-    void on_start(std::string const& executor, jobs::run_id const& run,
+    void on_start(run_history::key const& started, std::string const& agent,
                   std::string const& payload, jobs::resources const& in_use,
                   jobs::resources const& capacity);
 
+    /// An executor has received the first order to stop a current run.
+    void on_stop(run_history::key const& stopped);
+
     /// A run has ended while its executor remains up.
-    void on_end(jobs::run_id const& run, jobs::run_end outcome);
+    void on_end(run_history::key const& ended, jobs::run_end outcome);
 
-    /// The agent has acknowledged the end of a run.
-    void on_acknowledged(jobs::run_id const& run, jobs::run_end outcome);
+    /// The agent has acknowledged the end of a run before the lease of the
+    /// executor expired.
+    void on_acknowledged(run_history::key const& ended, jobs::run_end outcome);
 
     /// An incarnation of an executor has ended, and with it all its runs.
     void on_incarnation_end(std::string const& executor);
@@ -84,8 +92,9 @@
     /// time to end.
     void check_final_state();
 
-    /// @return a line of text for each violated invariant
-    std::vector<std::string> const& violations() const { return violations_; }
+    /// @return a text for each violation, which shows what has happened to the
+    ///         runs that take part until now
+    std::vector<std::string> violations() const;
     std::size_t start_count() const { return start_count_; }
 
 private:
@@ -100,16 +109,25 @@
         std::set<jobs::run_id> superseded;
     };
 
-    void report(std::string violation);
+    struct violation
+    {
+        std::string text;
+        std::vector<run_history::key> runs; ///< that take part in it
+    };
+
+    /// @param text a line of text
+    /// @param runs the runs that take part
+    void report(std::string text, std::vector<run_history::key> runs = {});
     /// @return whether all tasks of a step are done; for a gang, whether one is
     bool is_step_done(std::string const& job, std::int32_t step) const;
 
     core::clock const& clock_;
+    run_history history_;
     std::map<std::string, submitted_job> jobs_;
     std::map<jobs::task_id, task_record> tasks_;
     /// All runs that ended as done, by task.
     std::map<jobs::task_id, std::set<jobs::run_id>> done_runs_;
-    std::vector<std::string> violations_;
+    std::vector<violation> violations_;
     std::size_t start_count_ = 0;
 };
 
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -1,6 +1,7 @@
 #include "soak/fault_injector.hpp"
 #include "soak/timeline_check.hpp"
 
+#include <chrono>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -39,6 +40,13 @@
 /// How long the system is still observed after the last job has ended.
 constexpr core::duration observation_time{1000};
 
+/// @return the current time by the clock of the logs, in milliseconds
+std::int64_t log_time_ms()
+{
+    auto const now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<core::duration>(now).count();
+}
+
 /// @return the directory for logs, which now exists
 std::filesystem::path make_directory()
 {
@@ -182,6 +190,7 @@
     auto const directory = make_directory();
     auto const seed = absl::GetFlag(FLAGS_seed);
     soak::random_source random(seed);
+    auto const begun_at_ms = log_time_ms();
     auto system = soak::test_system::create(
         *core::value(loop), random, absl::GetFlag(FLAGS_binaries), directory,
         {absl::GetFlag(FLAGS_entries), absl::GetFlag(FLAGS_workers),
@@ -195,6 +204,8 @@
     soak_run run(*core::value(loop), core::value(std::move(system)), random,
                  *faults, directory);
     bool const has_passed = run.run();
+    fmt::print("times of runs count from time_ms {} of the logs\n",
+               begun_at_ms);
     fmt::print("seed {}: {}, logs in {}\n", seed,
                has_passed ? "all invariants held" : "FAILED",
                directory.string());
--- a/tests/soak/test_system.cpp
+++ b/tests/soak/test_system.cpp
@@ -178,8 +178,8 @@
         (binaries_ / "packages/programs/sequoiaroute-agent").string(),
         "--store_orders", "--settings=" + settings};
     executor_models_.push_back(std::make_unique<executor_model>(
-        fmt::format("i-{}", index + 1), executor_capacity, clock_, checker_,
-        gangs_));
+        fmt::format("i-{}", index + 1), added.name, executor_capacity, clock_,
+        checker_, gangs_));
     SEQUOIA_TRY_INTO(
         auto server,
         executor_server::create(loop_, {executor, own_address(heartbeat_port)},
