--- a/tests/soak/customer_simulator.cpp
+++ b/tests/soak/customer_simulator.cpp
@@ -154,6 +154,7 @@
              auto& job = checker_.jobs()[id];
              if (reply.is_success()) {
                  job.was_accepted = true;
+                 job.accepted_at = loop_.now();
                  accepted_paths_.insert(path);
                  if (random_.happens(cancel_probability))
                      cancel(path);
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -1,6 +1,7 @@
 #include "soak/fault_injector.hpp"
 #include "soak/timeline_check.hpp"
 
+#include <chrono>
 #include <csignal>
 #include <cstdio>
 #include <cstdlib>
@@ -38,9 +39,19 @@
 /// How long the processes may start up before the first fault and job.
 constexpr core::duration startup_time{4000};
 constexpr core::duration tick_period{50};
+/// The time within which the platform wants an accepted job to be visible. It
+/// is as long as reads are stale.
+constexpr core::duration max_visibility_delay{3000};
 /// How long the system is still observed after the last job has ended.
 constexpr core::duration observation_time{1000};
 
+/// @return the current time by the clock of the logs, in milliseconds
+std::int64_t log_time_ms()
+{
+    auto const now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<core::duration>(now).count();
+}
+
 /// @return the directory for logs, which now exists
 std::filesystem::path make_directory()
 {
@@ -192,6 +203,7 @@
     auto const directory = make_directory();
     auto const seed = absl::GetFlag(FLAGS_seed);
     soak::random_source random(seed);
+    auto const begun_at_ms = log_time_ms();
     auto system = soak::test_system::create(
         *core::value(loop), random, absl::GetFlag(FLAGS_binaries), directory,
         {absl::GetFlag(FLAGS_entries), absl::GetFlag(FLAGS_workers),
@@ -202,9 +214,13 @@
     }
     core::value(system)->customers().wide_job_probability =
         absl::GetFlag(FLAGS_wide_jobs);
+    if (*faults == fault_selection::stale_reads)
+        core::value(system)->checker().visibility_delay = max_visibility_delay;
     soak_run run(*core::value(loop), core::value(std::move(system)), random,
                  *faults, directory);
     bool const has_passed = run.run();
+    fmt::print("times of runs count from time_ms {} of the logs\n",
+               begun_at_ms);
     fmt::print("seed {}: {}, logs in {}\n", seed,
                has_passed ? "all invariants held" : "FAILED",
                directory.string());
