agents: Stop runs that are listed after their end was recorded

What callers would see: an executor with more than its capacity, and a task that runs twice, when a run turns out to be running after it was reported as ended.

Cause: a run whose end was recorded counted neither as running nor as a run without an order as long as its order existed.

Change: a run that is listed as running although its end was recorded counts as one without an order: it is stopped, and nothing is started beside it.

Result: run_tracker_test.clears_a_run_that_is_listed_after_its_end failed before (runs_without_order is empty) and passes now (agents_tests: 59 passed).

--- a/packages/agents/run_tracker.cpp
+++ b/packages/agents/run_tracker.cpp
@@ -107,7 +107,7 @@
     for (auto const& task : snapshot.running) {
         listed.insert(task.run);
         auto const found = runs_.find(task.run);
-        if (found == runs_.end()) {
+        if (found == runs_.end() || found->second.ended) {
             runs_without_order_.push_back(task.run);
             continue;
         }
--- a/packages/agents/run_tracker.hpp
+++ b/packages/agents/run_tracker.hpp
@@ -93,7 +93,8 @@
     std::vector<action> next_actions(core::time_point now,
                                      start_permission permission);
 
-    /// @return runs that have no order and may be running
+    /// @return runs that may be running without an order, or although their end
+    ///         has been recorded
     std::vector<jobs::run_id> const& runs_without_order() const
     {
         return runs_without_order_;
--- a/tests/agents/run_tracker_test.cpp
+++ b/tests/agents/run_tracker_test.cpp
@@ -273,6 +273,27 @@
     EXPECT_EQ(next_action().order.run, next.run);
 }
 
+// Guards against a task that runs twice, and against more runs than an executor
+// has room for: a run that was reported as ended is running after all.
+TEST_F(run_tracker_test, clears_a_run_that_is_listed_after_its_end)
+{
+    order.is_stop_requested = true;
+    tracker.put_order(order, false);
+    tracker.next_actions(now, permission::granted);
+    ASSERT_EQ(tracker.ended().size(), 1U);
+    auto current = snapshot();
+    current.running = {{order.run, "", 10}};
+    tracker.receive_snapshot(current, now);
+    EXPECT_EQ(tracker.runs_without_order().size(), 1U);
+    auto next_order = order;
+    next_order.is_stop_requested = false;
+    next_order.run.run = 2;
+    tracker.put_order(next_order, false);
+    EXPECT_TRUE(tracker.next_actions(now, permission::granted).empty());
+    tracker.receive_snapshot(snapshot(), now + 10ms);
+    EXPECT_EQ(next_action().type, run_tracker::action::kind::start);
+}
+
 // Guards against a run that is reported as lost, and run again elsewhere,
 // because its order arrived before the first heartbeat of the incarnation that
 // it names.
