rows: Log that a table is read anew and that a read was stale

The logs did not show when a process had lost the store's history, nor that what it read then was older than what it knew, so that they could not tell a decider that acted on stale reads from one that saw a silent agent.

history_lost names the table, the version and the age of the replica; stale_read_repeated names both versions. Reads are repeated with a backoff, so that few lines are written.

--- a/packages/rows/table_replica.cpp
+++ b/packages/rows/table_replica.cpp
@@ -1,5 +1,7 @@
 #include "rows/table_replica.hpp"
 
+#include "core/event_log.hpp"
+
 #include <algorithm>
 #include <set>
 #include <utility>
@@ -96,6 +98,8 @@
                 [this, alive, attempt = attempt_](page const& result) {
                     if (alive.expired() || !is_current(attempt))
                         return;
+                    if (result.is_ok && result.version < version_)
+                        log_stale_read(result.version, version_);
                     if (!result.is_ok || result.version < version_)
                         return retry([this] { load(); });
                     loading_version_ = result.version;
@@ -145,8 +149,18 @@
                 });
 }
 
+void table_replica::log_stale_read(row_version read, row_version known) const
+{
+    core::log_event("stale_read_repeated",
+                    {{"table", options_.table},
+                     {"version", static_cast<std::int64_t>(read)},
+                     {"known_version", static_cast<std::int64_t>(known)}});
+}
+
 void table_replica::receive_page(std::string const& part, page result)
 {
+    if (result.is_ok && result.version < loading_version_)
+        log_stale_read(result.version, loading_version_);
     // A page without rows does not tell where the next one begins. The feed
     // does not deliver what a page lacks that is older than this read.
     if (!result.is_ok || result.version < loading_version_ ||
@@ -194,8 +208,13 @@
 
 void table_replica::receive_changes(feed_page page)
 {
-    if (page.outcome == feed_outcome::history_lost)
+    if (page.outcome == feed_outcome::history_lost) {
+        core::log_event("history_lost",
+                        {{"table", options_.table},
+                         {"version", static_cast<std::int64_t>(version_)},
+                         {"age_ms", is_loaded() ? age().count() : -1}});
         return load();
+    }
     if (page.outcome == feed_outcome::unavailable)
         return retry([this] { poll_feed(options_.wait); });
     bool const has_changes = !page.rows.empty();
--- a/packages/rows/table_replica.hpp
+++ b/packages/rows/table_replica.hpp
@@ -106,6 +106,7 @@
     void load_page(std::string const& part, std::string from);
     void receive_page(std::string const& part, page result);
     void finish_load();
+    void log_stale_read(row_version read, row_version known) const;
 
     /// Polls the change feed.
     void poll_feed(core::duration wait);
