soak: Let tasks outlast leases, and stops take their time

A member of a gang that was being stopped ended as broken at once when another member had ended, although a stop may take up to its limit.

Members that are being stopped take their time. Up to four agents lose the store at once, some of them only the responses to their writes, or the writes for seconds.

--- a/tests/soak/customer_simulator.cpp
+++ b/tests/soak/customer_simulator.cpp
@@ -13,6 +13,7 @@
 using adapter::json;
 
 constexpr core::duration submit_period{250};
+constexpr core::duration min_work_time{200};
 constexpr core::duration poll_period{200};
 constexpr core::duration request_timeout{3000};
 constexpr core::duration retry_delay{400};
@@ -47,7 +48,9 @@
 
 void customer_simulator::start()
 {
-    submit_timer_ = loop_.every(submit_period, [this] {
+    auto const period =
+        submit_period * max_work_time.count() / usual_max_work_time.count();
+    submit_timer_ = loop_.every(period, [this] {
         if (!is_finishing_)
             submit();
     });
@@ -115,7 +118,7 @@
         return submit_wide_job();
     auto const id = next_job_id();
     task_plan plan;
-    plan.work_time = random_.between(core::duration(200), core::duration(2500));
+    plan.work_time = random_.between(min_work_time, max_work_time);
     plan.demand = {1000, 0, static_cast<std::int64_t>(1 + random_.below(4))};
     std::size_t const task_count = 1 + random_.below(4);
     auto& job = checker_.jobs()[id];
--- a/tests/soak/customer_simulator.hpp
+++ b/tests/soak/customer_simulator.hpp
@@ -51,10 +51,14 @@
     ///         have ended
     bool are_all_final() const;
 
+    static constexpr core::duration usual_max_work_time{2500};
+
     std::string key = "key-1"; ///< authenticates the customers
     /// The share of jobs with more tasks than a transaction of the store has
     /// entries, and than an executor lists ends at once.
     double wide_job_probability = 0;
+    /// The longest work time of a task. Longer tasks come less often.
+    core::duration max_work_time = usual_max_work_time;
 
 private:
     /// Creates a random job and submits it.
--- a/tests/soak/executor_fault_injector.cpp
+++ b/tests/soak/executor_fault_injector.cpp
@@ -150,7 +150,9 @@
 
 void executor_fault_injector::stop_slowly(target const& hit)
 {
-    hit.model.stop_time = system_.timing().max_stop_time - stop_margin;
+    auto const longest = system_.timing().max_stop_time - stop_margin;
+    hit.model.stop_time =
+        random_.between(executor_model::usual_stop_time, longest);
     schedule_.begin(
         "executor stops runs slowly",
         [&model = hit.model] {
--- a/tests/soak/executor_model.cpp
+++ b/tests/soak/executor_model.cpp
@@ -215,6 +215,9 @@
 void executor_model::wait_for_gang(run_map::iterator run)
 {
     auto const& record = run->second;
+    // What is being stopped takes its time, whatever the others do.
+    if (record.stops_at)
+        return;
     // Progress shows that the gang was complete, so a member has ended. Without
     // progress a member has not started.
     if (record.work_done > core::duration(0))
--- a/tests/soak/process_fault_injector.cpp
+++ b/tests/soak/process_fault_injector.cpp
@@ -14,6 +14,7 @@
 constexpr core::duration min_fault_duration{300};
 constexpr core::duration max_fault_duration{6000};
 constexpr core::duration slow_response{600};
+constexpr std::size_t max_isolated_agents = 4;
 constexpr double cancelled_share = 0.3;
 constexpr double history_loss_probability = 0.3;
 
@@ -47,7 +48,7 @@
                                     [](auto const&) { return true; });
     case 2:
     case 3:
-        return isolate_agent();
+        return isolate_agents();
     case 4:
         return freeze_agent();
     case 5:
@@ -104,11 +105,20 @@
 void process_fault_injector::isolate(system_process& target,
                                      core::duration duration)
 {
+    constexpr std::array kinds{"store unreachable for one process",
+                               "all responses to writes of a process lost",
+                               "all writes of a process late"};
     store_faults faults;
-    faults.mode = store_faults::response::silent;
+    auto const kind = random_.below(kinds.size());
+    if (kind == 0)
+        faults.mode = store_faults::response::silent;
+    else if (kind == 1)
+        faults.lost_response_probability = 1;
+    else
+        faults.late_write_probability = 1;
     system_.set_store_faults(target, faults);
     schedule_.begin(
-        "store unreachable for one process",
+        kinds.at(kind),
         [this, &target] { system_.set_store_faults(target, {}); }, duration);
 }
 
@@ -125,9 +135,15 @@
     };
 }
 
-void process_fault_injector::isolate_agent()
+void process_fault_injector::isolate_agents()
+{
+    auto const count = 1 + random_.below(max_isolated_agents);
+    for (std::size_t index = 0; index < count; ++index)
+        isolate_agent(pick_agent());
+}
+
+void process_fault_injector::isolate_agent(system_process& agent)
 {
-    auto& agent = pick_agent();
     auto const duration = pick_time_limit();
     isolate(agent, duration);
     auto const moment =
--- a/tests/soak/process_fault_injector.hpp
+++ b/tests/soak/process_fault_injector.hpp
@@ -36,7 +36,8 @@
     void disturb_after_commit(system_process& target, commit_filter is_awaited);
     /// Cuts an agent off from the store for about as long as a time limit, and
     /// disturbs it or the decider near the end.
-    void isolate_agent();
+    void isolate_agent(system_process& agent);
+    void isolate_agents();
     void freeze_agent();
     void kill_group(process_group& group, std::string const& kind);
     /// Makes the store turn away all entries or all agents, and may drop its
@@ -45,6 +46,7 @@
     /// Kills or freezes a process, stops it gracefully, or cuts it off from the
     /// store.
     void disturb(system_process& target);
+    /// Makes a process lose the store, or only the responses to its writes.
     void isolate(system_process& target, core::duration duration);
     system_process& pick_agent();
     /// @return about the time after which an agent stops to extend leases or
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -26,6 +26,8 @@
 ABSL_FLAG(std::string, faults, "all",
           "all, store_outages, executors, processes or mixed; see README.md");
 ABSL_FLAG(int, lease_ms, 2000, "the longest lease that executors grant");
+ABSL_FLAG(int, stop_ms, 300, "the longest time that executors take for a stop");
+ABSL_FLAG(int, work_ms, 2500, "the longest work time of a task");
 ABSL_FLAG(double, wide_jobs, 0,
           "share of the jobs that have hundreds of short tasks");
 
@@ -192,13 +194,15 @@
     auto system = soak::test_system::create(
         *core::value(loop), random, absl::GetFlag(FLAGS_binaries), directory,
         {absl::GetFlag(FLAGS_entries), absl::GetFlag(FLAGS_workers),
-         core::duration(absl::GetFlag(FLAGS_lease_ms))});
+         core::duration(absl::GetFlag(FLAGS_lease_ms)),
+         core::duration(absl::GetFlag(FLAGS_stop_ms))});
     if (!core::is_ok(system)) {
         fmt::print("{}\n", core::failure(system).message);
         return EXIT_FAILURE;
     }
-    core::value(system)->customers().wide_job_probability =
-        absl::GetFlag(FLAGS_wide_jobs);
+    auto& customers = core::value(system)->customers();
+    customers.wide_job_probability = absl::GetFlag(FLAGS_wide_jobs);
+    customers.max_work_time = core::duration(absl::GetFlag(FLAGS_work_ms));
     soak_run run(*core::value(loop), core::value(std::move(system)), random,
                  *faults, directory);
     bool const has_passed = run.run();
--- a/tests/soak/test_system.cpp
+++ b/tests/soak/test_system.cpp
@@ -37,8 +37,6 @@
 
 /// Millicores, megabytes of memory, accelerators.
 jobs::resources const executor_capacity{16'000, 64'000, 8};
-/// The longest time that executors take to stop a run.
-constexpr core::duration max_stop_time{300};
 /// How long after the start or end of a fault responses may still break off.
 constexpr core::duration broken_response_grace{7000};
 /// The third byte of all addresses of this run.
@@ -141,15 +139,15 @@
     };
     auto const settings = write_settings(
         added.name,
-        fmt::format("[process]\nnode = {}\n[listen]\ncustomers = {}\n"
-                    "readiness = {}\nentries = {}\nmetrics = {}\n[store]\n"
-                    "address = {}\n[bounds]\nlease = {}ms\nstop = {}ms\n"
-                    "grace = 5s\nstate_kept = 120s\n",
-                    added.name, own_address(customer_port),
-                    own_address(readiness_port), own_address(notice_port),
-                    own_address(metrics_port),
-                    address(store_proxy_network, index, store_port),
-                    options_.max_lease.count(), max_stop_time.count()));
+        fmt::format(
+            "[process]\nnode = {}\n[listen]\ncustomers = {}\n"
+            "readiness = {}\nentries = {}\nmetrics = {}\n[store]\n"
+            "address = {}\n[bounds]\nlease = {}ms\nstop = {}ms\n"
+            "grace = 5s\nstate_kept = 120s\n",
+            added.name, own_address(customer_port), own_address(readiness_port),
+            own_address(notice_port), own_address(metrics_port),
+            address(store_proxy_network, index, store_port),
+            options_.max_lease.count(), options_.max_stop_time.count()));
     added.arguments = {(binaries_ / "packages/programs/sequoiaroute").string(),
                        "schedule", "--settings=" + settings};
     entry_endpoints_.push_back({added.name, own_address(customer_port), false});
@@ -178,7 +176,7 @@
             added.name, host(agent_network, index), own_address(heartbeat_port),
             own_address(notice_port), own_address(metrics_port), executor,
             address(store_proxy_network, first_agent_index + index, store_port),
-            options_.max_lease.count(), max_stop_time.count()));
+            options_.max_lease.count(), options_.max_stop_time.count()));
     added.arguments = {
         (binaries_ / "packages/programs/sequoiaroute-agent").string(),
         "--store_orders", "--settings=" + settings};
@@ -223,7 +221,7 @@
 
 jobs::lease_timing test_system::timing() const
 {
-    return {options_.max_lease, max_stop_time};
+    return {options_.max_lease, options_.max_stop_time};
 }
 
 system_process* test_system::decider()
--- a/tests/soak/test_system.hpp
+++ b/tests/soak/test_system.hpp
@@ -42,6 +42,8 @@
         std::size_t workers = 4;
         /// The longest lease of runs that executors grant.
         core::duration max_lease{2000};
+        /// The longest time that executors take to stop a run.
+        core::duration max_stop_time{300};
     };
 
     /// Starts the processes and everything that they connect to.
