agents: Keep the long-running tasks of an executor that refuses connections

What callers would see: all long-running tasks of an executor are stopped when it refuses connections for 0.6 s.

Cause: such an executor is reported as draining with an hour left, so that it keeps its runs. The decider expects that a long-running task takes an hour, counts it from the present, not from the report, and so found that each of them outlasts the executor.

Change: the remaining time that stands for no end is a constant that agent and decider share, and longer than any run is expected to take.

--- a/packages/agents/agent_service.cpp
+++ b/packages/agents/agent_service.cpp
@@ -28,9 +28,6 @@
 /// be starting, when it does not listen yet. Its runs go on until their lease
 /// expires, since a broken path refuses connections as well.
 constexpr core::duration refused_before_avoided{600};
-/// The remaining time of an executor that gets no new runs, but may keep those
-/// it has.
-constexpr core::duration unlimited_remaining{std::chrono::hours(1)};
 
 } // namespace
 
@@ -430,7 +427,7 @@
         return;
     auto avoided = worker_;
     avoided.state = jobs::worker_state::draining;
-    avoided.remaining = unlimited_remaining;
+    avoided.remaining = jobs::unlimited_remaining;
     update_executor(std::move(avoided));
     publish_report_if_due();
 }
--- a/packages/jobs/worker_report.hpp
+++ b/packages/jobs/worker_report.hpp
@@ -38,6 +38,11 @@
 /// @return the name of a state in rows and messages, which must not change
 std::string_view name(worker_state state);
 
+/// The remaining time of a draining worker that gets no new runs, but keeps
+/// those it has. Longer than the decider expects of a long-running task, which
+/// it would stop otherwise.
+inline constexpr core::duration unlimited_remaining{std::chrono::hours(24)};
+
 /// The properties of a worker, as reported by its executor.
 struct worker_description
 {
--- a/tests/agents/agent_service_test.cpp
+++ b/tests/agents/agent_service_test.cpp
@@ -658,7 +658,7 @@
     put_order(refused);
     timers.advance(300ms);
     EXPECT_EQ(report().worker.state, jobs::worker_state::draining);
-    EXPECT_GT(report().worker.remaining, 1min);
+    EXPECT_EQ(report().worker.remaining, jobs::unlimited_remaining);
     ASSERT_EQ(report().ended.size(), 1U);
     EXPECT_EQ(report().ended[0].run, refused.run);
     executor.is_refusing = false;
--- a/tests/scheduler/scheduler_core_test.cpp
+++ b/tests/scheduler/scheduler_core_test.cpp
@@ -571,6 +571,25 @@
     EXPECT_EQ(decide_starts().at(0).run.run, 3);
 }
 
+// Guards against stopping the long-running tasks of an executor that only
+// cannot be reached for a moment.
+TEST_F(scheduler_core_test, keeps_long_running_tasks_on_an_avoided_worker)
+{
+    add_worker("a");
+    auto job = make_job("j", 1, 8);
+    job.spec.steps[0].is_long_running = true;
+    core_.add_submission(job, now_);
+    auto const started = decide_starts();
+    ASSERT_EQ(started.size(), 1U);
+    report_running(started[0], 100);
+    auto& avoided_report = reports_.at("a");
+    avoided_report.worker.state = jobs::worker_state::draining;
+    avoided_report.worker.remaining = jobs::unlimited_remaining;
+    core_.receive_report(avoided_report, now_);
+    now_ += 10s;
+    EXPECT_TRUE(orders(decide(), stops).empty());
+}
+
 TEST_F(scheduler_core_test, moves_a_run_off_a_draining_worker)
 {
     add_worker("a");
