rows: Pause between reads that the feed cannot continue

After the store has dropped its history, a replica read the table, learned from the feed that this read was too old, and read the table again at once. While reads are stale, this was a busy loop: a replica made 1501 reads in 3 s against a store that answers within 1 ms. The store's rate limits hold for all processes together.

The next read now waits for the usual delay between retries, unless the feed has confirmed the previous one.

Before: pauses_between_reads_that_the_feed_cannot_continue failed with 1501 reads. After: it passes (rows_tests: 21 passed).

--- a/packages/rows/table_replica.cpp
+++ b/packages/rows/table_replica.cpp
@@ -192,6 +192,7 @@
     for (auto& [key, item] : std::exchange(loading_, {}))
         apply(std::move(item));
     version_ = loading_version_;
+    is_load_unconfirmed_ = true;
     poll_feed(core::duration(0));
 }
 
@@ -213,7 +214,7 @@
                         {{"table", options_.table},
                          {"version", static_cast<std::int64_t>(version_)},
                          {"age_ms", is_loaded() ? age().count() : -1}});
-        return load();
+        return is_load_unconfirmed_ ? retry([this] { load(); }) : load();
     }
     if (page.outcome == feed_outcome::unavailable)
         return retry([this] { poll_feed(options_.wait); });
@@ -223,6 +224,7 @@
     retry_delays_.reset();
     record_store_time(page.store_time);
     version_ = std::max(version_, page.version);
+    is_load_unconfirmed_ = false;
     confirmed_at_ = sent_at_;
     if (on_update_)
         on_update_();
--- a/packages/rows/table_replica.hpp
+++ b/packages/rows/table_replica.hpp
@@ -139,6 +139,9 @@
     std::map<row_key, row> loading_; ///< the rows read so far
     /// The version of the store when the read began. No page of it is older.
     row_version loading_version_ = no_row;
+    /// The feed has not continued from the last read yet. If it cannot, the
+    /// reads are stale, and the next one has to wait.
+    bool is_load_unconfirmed_ = false;
     core::backoff retry_delays_;
     std::unique_ptr<event::timer> retry_timer_;
     /// Responses to calls of earlier attempts are ignored.
--- a/tests/rows/table_replica_test.cpp
+++ b/tests/rows/table_replica_test.cpp
@@ -143,6 +143,25 @@
     EXPECT_EQ(observed, (std::vector<std::string>{"+c"}));
 }
 
+// Guards against reads in a busy loop, which use up the store's rate limits,
+// while the reads are older than the history that the feed has.
+TEST_F(table_replica_test, pauses_between_reads_that_the_feed_cannot_continue)
+{
+    store.put(key("a"), "1");
+    store.keep_state_for_stale_reads();
+    store.are_reads_stale = true;
+    store.put(key("b"), "1");
+    store.drop_history();
+    replica.start();
+    timers.advance(3s);
+    EXPECT_LE(store.read_count, 40U);
+    EXPECT_FALSE(replica.is_loaded());
+    store.are_reads_stale = false;
+    timers.advance(1s);
+    EXPECT_TRUE(replica.is_loaded());
+    EXPECT_EQ(replica.rows().size(), 2U);
+}
+
 // Guards against missing a row in a part that is created while the table is
 // being read.
 TEST_F(table_replica_test, reads_a_part_that_is_created_while_it_loads)
--- a/tests/support/memory_row_store.hpp
+++ b/tests/support/memory_row_store.hpp
@@ -43,6 +43,7 @@
     /// How long the store takes until it serves a read of a range, by part.
     std::map<std::string, core::duration> read_delays;
     std::size_t commit_count = 0; ///< failed commits included
+    std::size_t read_count = 0;   ///< reads of rows, failed ones included
 
     /// Writes a row on behalf of another client, without conditions.
     void put(rows::row_key const& key, std::string value)
@@ -107,6 +108,7 @@
 
     void read(rows::range range, std::function<void(rows::page)> done) override
     {
+        ++read_count;
         auto const delay = read_delays.find(range.part);
         if (delay == read_delays.end())
             return serve_read(range, done);
