agents: Replace no listed end by that of an earlier report

What callers would see: a task that runs again after it is done.

Cause: since, the ends in a stored report that a conflict shows take precedence over all that the agent has recorded, not only over those that it has inferred. An end that the executor has listed was replaced too, say done by lost, and was acknowledged with the next report that was stored.

Change: an end that the executor has listed stays.

Result: run_tracker_test.keeps_a_listed_end_over_that_of_an_earlier_report failed before (lost instead of done) and passes now. agents_tests: 60 passed.

--- a/packages/agents/run_tracker.cpp
+++ b/packages/agents/run_tracker.cpp
@@ -42,7 +42,7 @@
 void run_tracker::restore_end(jobs::ended_run ended)
 {
     auto const found = runs_.find(ended.run);
-    if (found != runs_.end())
+    if (found != runs_.end() && !found->second.is_end_listed)
         found->second.ended = std::move(ended);
 }
 
@@ -99,10 +99,12 @@
     for (auto const& item : snapshot.ended) {
         listed.insert(item.task.run);
         auto const found = runs_.find(item.task.run);
-        if (found == runs_.end())
+        if (found == runs_.end()) {
             ends_without_order_.push_back(item.task);
-        else if (!found->second.ended)
+        } else if (!found->second.ended) {
             end(found->second, item.task.end, item.task.checkpoint);
+            found->second.is_end_listed = true;
+        }
     }
     for (auto const& task : snapshot.running) {
         listed.insert(task.run);
--- a/packages/agents/run_tracker.hpp
+++ b/packages/agents/run_tracker.hpp
@@ -62,7 +62,8 @@
     void remove_order(jobs::run_id const& run);
 
     /// Restores an end from the last stored report. It takes precedence over
-    /// one that was inferred since. Has no effect on runs that have no order.
+    /// one that was inferred since, but not over one that the executor has
+    /// listed. Has no effect on runs that have no order.
     void restore_end(jobs::ended_run ended);
 
     /// Sets the session of the agent. Runs whose orders name another one are
@@ -152,6 +153,7 @@
         bool is_start_abandoned = false;
         std::optional<jobs::active_run> running;
         std::optional<jobs::ended_run> ended;
+        bool is_end_listed = false; ///< the executor has listed the end
     };
 
     void end(tracked_run& tracked, jobs::run_end end_kind,
--- a/tests/agents/run_tracker_test.cpp
+++ b/tests/agents/run_tracker_test.cpp
@@ -79,6 +79,18 @@
     EXPECT_EQ(tracker.ended()[0].end, jobs::run_end::done);
 }
 
+// Guards against a lost end, and a task that runs twice: the executor has
+// listed the end, and the report of an earlier process has taken the run as
+// lost.
+TEST_F(run_tracker_test, keeps_a_listed_end_over_that_of_an_earlier_report)
+{
+    tracker.put_order(order, true);
+    tracker.receive_snapshot(snapshot_with_end(jobs::run_end::done), now);
+    tracker.restore_end({order.run, jobs::run_end::lost, ""});
+    ASSERT_EQ(tracker.ended().size(), 1U);
+    EXPECT_EQ(tracker.ended()[0].end, jobs::run_end::done);
+}
+
 // Guards against reporting a refusal for a run whose end the executor lists.
 TEST_F(run_tracker_test, reports_a_refusal_only_after_a_snapshot)
 {
