--- a/packages/agents/executor_lease.hpp
+++ b/packages/agents/executor_lease.hpp
@@ -25,8 +25,9 @@
     /// @param received_at when the reply arrived
     void record_clock(std::int64_t clock_ms, core::time_point received_at);
 
-    /// Assumes that an earlier process of this agent has extended the lease.
-    /// @param now when that process had ended
+    /// Assumes that a call has extended the lease of which this object does not
+    /// know: that of an earlier process, or one sent to an earlier incarnation.
+    /// @param now when that call took effect at the latest
     void assume_extended(core::time_point now) { extended_at_ = now; }
 
     /// @param sent_at when a report that has been stored was sent
--- a/tests/agents/agent_service_test.cpp
+++ b/tests/agents/agent_service_test.cpp
@@ -687,6 +687,27 @@
     EXPECT_GT(executor.clock_ms(), lease_end);
 }
 
+// Guards against a task that runs twice: a restarted executor has carried out
+// an earlier start, and refuses connections before it has answered a poll.
+TEST_F(agent_service_test, waits_for_the_lease_of_a_restarted_executor)
+{
+    begin();
+    auto const order = make_order(0);
+    executor.born_ms = 2;
+    put_order(order);
+    while (!executor.running.contains(order.run))
+        timers.advance(1ms);
+    executor.is_refusing = true;
+    auto const restarted_at = timers.now();
+    heartbeat(jobs::worker_state::ready, 2);
+    while (report().worker.state != jobs::worker_state::gone &&
+           timers.now() < restarted_at + 20s)
+        timers.advance(10ms);
+    EXPECT_EQ(report().worker.state, jobs::worker_state::gone);
+    EXPECT_GT(timers.now() - restarted_at,
+              (jobs::lease_timing{6s, 1s}.max_time_to_stop()));
+}
+
 // Guards against giving up a machine that was only silent for a while.
 TEST_F(agent_service_test, uses_an_executor_again_that_was_only_silent)
 {
