agents: End an executor behind a broken path once, not with each heartbeat

Once the lease of an executor that refuses connections had run out, each of its heartbeats revived it, and the next poll ended it again, with a new session and two reports each time.

Ruled out: silent paths, whose polls are not answered with a refusal.

An executor that counts as gone behind a path that still refuses connections is polled without a lease, and its heartbeats count again once a poll gets through.

--- a/packages/agents/agent_service.cpp
+++ b/packages/agents/agent_service.cpp
@@ -29,6 +29,16 @@
 /// expires, since a broken path refuses connections as well.
 constexpr core::duration refused_before_avoided{600};
 
+/// @return the worker as one that gets no new runs, but keeps those it has
+jobs::worker_description make_avoided(jobs::worker_description worker)
+{
+    if (worker.state != jobs::worker_state::ready)
+        return worker;
+    worker.state = jobs::worker_state::draining;
+    worker.remaining = jobs::unlimited_remaining;
+    return worker;
+}
+
 } // namespace
 
 agent_service::agent_service(rows::row_store& store,
@@ -134,12 +144,12 @@
     bool const is_ending =
         has_deregistered_ ||
         (worker_.state == jobs::worker_state::gone && !is_presumed_gone_);
-    if (is_same && is_ending)
+    if (is_same && (is_ending || is_gone_behind_broken_path()))
         return;
     sequence_ = sequence;
-    update_executor(std::move(worker));
     if (is_same && refuses_connections())
-        avoid_executor();
+        worker = make_avoided(std::move(worker));
+    update_executor(std::move(worker));
     if (is_serving_) {
         advance_runs();
         publish_report_if_due();
@@ -297,8 +307,9 @@
 
 void agent_service::poll_executor()
 {
-    if (is_polling_ || !is_serving_ || worker_.executor.id.empty() ||
-        worker_.state == jobs::worker_state::gone ||
+    bool const is_gone = worker_.state == jobs::worker_state::gone &&
+                         !is_gone_behind_broken_path();
+    if (is_polling_ || !is_serving_ || worker_.executor.id.empty() || is_gone ||
         timers_.now() < next_poll_at_)
         return;
     is_polling_ = true;
@@ -402,6 +413,8 @@
         lease_.suspend();
         refused_since_ = refused_since_.value_or(now);
     }
+    if (worker_.state == jobs::worker_state::gone)
+        return;
     if (has_deregistered_ && (is_connection_refused || lease_.has_run_out(now)))
         return mark_executor_gone("deregistered");
     if (refuses_connections())
@@ -423,15 +436,20 @@
            timers_.now() - *refused_since_ > refused_before_avoided;
 }
 
+/// Heartbeats still arrive, but the executor cannot be used before a poll gets
+/// through, so only polls go on.
+bool agent_service::is_gone_behind_broken_path() const
+{
+    return is_presumed_gone_ && worker_.state == jobs::worker_state::gone &&
+           refuses_connections();
+}
+
 /// Lets the decider place no more runs on the executor.
 void agent_service::avoid_executor()
 {
     if (worker_.state != jobs::worker_state::ready)
         return;
-    auto avoided = worker_;
-    avoided.state = jobs::worker_state::draining;
-    avoided.remaining = jobs::unlimited_remaining;
-    update_executor(std::move(avoided));
+    update_executor(make_avoided(worker_));
     publish_report_if_due();
 }
 
--- a/packages/agents/executor_lease.hpp
+++ b/packages/agents/executor_lease.hpp
@@ -27,7 +27,7 @@
 
     /// Assumes that a call has extended the lease of which this object does not
     /// know: that of an earlier process, or one sent to an earlier incarnation.
-    /// @param now when that call took effect at the latest
+    /// @param now no such call has taken effect later
     void assume_extended(core::time_point now) { extended_at_ = now; }
 
     /// @param sent_at when a report that has been stored was sent
--- a/tests/agents/agent_service_test.cpp
+++ b/tests/agents/agent_service_test.cpp
@@ -708,6 +708,31 @@
               (jobs::lease_timing{6s, 1s}.max_time_to_stop()));
 }
 
+// Guards against a new session and reports with each heartbeat of an executor
+// whose connections fail, and against never using it again.
+TEST_F(agent_service_test, reports_at_its_usual_pace_while_connections_fail)
+{
+    begin();
+    put_order(make_order(0));
+    timers.advance(100ms);
+    executor.is_refusing = true;
+    timers.advance(10s);
+    auto const commits = store.commit_count;
+    auto const session = report().session;
+    for (int second = 0; second < 20; ++second) {
+        heartbeat(jobs::worker_state::ready);
+        timers.advance(1s);
+    }
+    EXPECT_LE(store.commit_count - commits, 22U);
+    EXPECT_EQ(report().session, session);
+    EXPECT_EQ(report().worker.state, jobs::worker_state::gone);
+    executor.is_refusing = false;
+    timers.advance(500ms);
+    heartbeat(jobs::worker_state::ready);
+    timers.advance(500ms);
+    EXPECT_EQ(report().worker.state, jobs::worker_state::ready);
+}
+
 // Guards against giving up a machine that was only silent for a while.
 TEST_F(agent_service_test, uses_an_executor_again_that_was_only_silent)
 {
