agents: Show that reports return after a restart without confirmed stops

An agent withholds its reports until a restarted executor has confirmed the stops of earlier starts. The new test guards against reports that are withheld for good if it never does: the decider takes the agent as lost, removes the orders, and the reports return. It passes without a change to the agent.

--- a/tests/agents/agent_service_test.cpp
+++ b/tests/agents/agent_service_test.cpp
@@ -31,6 +31,8 @@
     void stop(jobs::run_order const& order,
               std::function<void(order_reply)> done) override
     {
+        if (is_stop_busy)
+            return reply(std::move(done), order_outcome::busy);
         if (running.contains(order.run))
             end(order.run, jobs::run_end::stopped);
         reply(std::move(done));
@@ -91,8 +93,9 @@
 
     std::map<jobs::run_id, jobs::run_order> running;
     std::vector<unacknowledged_end> ended;
-    bool is_refusing = false; ///< connections are refused
-    bool is_silent = false;   ///< polls get no answer
+    bool is_refusing = false;  ///< connections are refused
+    bool is_silent = false;    ///< polls get no answer
+    bool is_stop_busy = false; ///< stops are answered as busy
     std::int64_t clock_offset_ms = 0;
     std::int64_t born_ms = 1;
     std::map<jobs::run_id, std::int32_t> shares;
@@ -101,11 +104,12 @@
     std::int64_t highest_acknowledged = 0;
 
 private:
-    void reply(std::function<void(order_reply)> done)
+    void reply(std::function<void(order_reply)> done,
+               order_outcome outcome = order_outcome::done)
     {
-        pending_.push_back(
-            timers_.after(1ms, [done = std::move(done), clock = clock_ms()] {
-                done({order_outcome::done, clock, ""});
+        pending_.push_back(timers_.after(
+            1ms, [done = std::move(done), clock = clock_ms(), outcome] {
+                done({outcome, clock, ""});
             }));
     }
 
@@ -733,6 +737,26 @@
     EXPECT_EQ(report().worker.state, jobs::worker_state::ready);
 }
 
+// Guards against reports that are withheld for good: a restarted executor never
+// confirms the stops of earlier starts, and the decider takes its runs as lost.
+TEST_F(agent_service_test, reports_again_once_earlier_orders_are_removed)
+{
+    begin();
+    auto const order = make_order(0);
+    auto const key = rows::layout::order_row("a", to_text(order.run));
+    executor.is_stop_busy = true;
+    executor.born_ms = 2;
+    put_order(order);
+    while (!executor.running.contains(order.run))
+        timers.advance(1ms);
+    heartbeat(jobs::worker_state::ready, 2);
+    timers.advance(11s);
+    EXPECT_EQ(report().worker.executor.born_ms, 1);
+    store.commit({{}, {}, {key}}, 100ms, [](auto const&) {});
+    timers.advance(2s);
+    EXPECT_EQ(report().worker.executor.born_ms, 2);
+}
+
 // Guards against giving up a machine that was only silent for a while.
 TEST_F(agent_service_test, uses_an_executor_again_that_was_only_silent)
 {
