agents, rows: Name when all runs of an executor have ended

The condition stood among the steps that follow a failed poll, and three comments said less than a reader needs. No change in behaviour; the tests of agents, rows and scheduler pass.

--- a/packages/agents/agent_service.cpp
+++ b/packages/agents/agent_service.cpp
@@ -419,9 +419,7 @@
         return mark_executor_gone("deregistered");
     if (refuses_connections())
         avoid_executor();
-    bool const has_ended = lease_.has_expired(now) ||
-                           (refuses_connections() && lease_.is_unused());
-    if (!has_ended)
+    if (!have_all_runs_ended())
         return;
     lease_.end();
     // The executor may return, and the decider then has taken its runs as lost.
@@ -436,6 +434,13 @@
            timers_.now() - *refused_since_ > refused_before_avoided;
 }
 
+/// A lost path alone does not show this, since the executor may run on.
+bool agent_service::have_all_runs_ended() const
+{
+    return lease_.has_expired(timers_.now()) ||
+           (refuses_connections() && lease_.is_unused());
+}
+
 /// Heartbeats still arrive, but the executor cannot be used before a poll gets
 /// through, so only polls go on.
 bool agent_service::is_gone_behind_broken_path() const
--- a/packages/agents/agent_service.hpp
+++ b/packages/agents/agent_service.hpp
@@ -80,6 +80,7 @@
                           core::time_point requested_at);
     void receive_poll_failure(bool is_connection_refused);
     bool refuses_connections() const;
+    bool have_all_runs_ended() const;
     bool is_gone_behind_broken_path() const;
     void avoid_executor();
     void mark_executor_gone(std::string_view cause);
--- a/packages/agents/run_tracker.cpp
+++ b/packages/agents/run_tracker.cpp
@@ -23,6 +23,7 @@
     if (found->second.order.session.empty())
         found->second.order.session = session_;
     if (is_new) {
+        // What became of an earlier process's start is unknown.
         found->second.may_have_started = may_have_started;
         found->second.has_unanswered_start = may_have_started;
         found->second.awaits_snapshot = may_have_started;
@@ -207,6 +208,7 @@
                                std::vector<action>& actions)
 {
     bool const is_same_id = tracked.order.executor.id == worker_.executor.id;
+    // The start of a listed run has taken effect and cannot do so again.
     bool const may_run_now =
         is_same_id && worker_.state != jobs::worker_state::gone &&
         tracked.may_have_started &&
--- a/packages/agents/run_tracker.hpp
+++ b/packages/agents/run_tracker.hpp
@@ -125,7 +125,8 @@
     /// @return whether a run cannot proceed until the next snapshot
     bool needs_snapshot() const;
 
-    /// @return whether runs of an earlier incarnation have not ended, since the
+    /// @return whether some runs of earlier incarnations have not ended, since
+    /// the
     ///         current one may have carried out their starts. It must not be
     ///         reported before, since the decider takes such runs as lost.
     bool has_replaced_runs() const;
--- a/packages/rows/table_replica.hpp
+++ b/packages/rows/table_replica.hpp
@@ -99,7 +99,7 @@
     std::map<row_key, row> const& rows() const { return rows_; }
 
 private:
-    /// Reads the whole table. The next five functions are its steps.
+    /// Reads the whole table. The functions up to finish_load() are its steps.
     void load();
     void list_parts();
     void load_parts(std::vector<std::string> const& listed);
@@ -128,7 +128,7 @@
     observer on_row_;
     std::function<void()> on_update_;
     std::map<row_key, row> rows_;
-    /// All changes up to this version were received.
+    /// The version that was read, or up to which the feed has delivered.
     row_version version_ = no_row;
     std::optional<core::time_point> confirmed_at_;
     core::time_point sent_at_{}; ///< start of the current poll or full read
