--- a/packages/agents/run_tracker.hpp
+++ b/packages/agents/run_tracker.hpp
@@ -126,9 +126,8 @@
     bool needs_snapshot() const;
 
     /// @return whether some runs of earlier incarnations have not ended, since
-    /// the
-    ///         current one may have carried out their starts. It must not be
-    ///         reported before, since the decider takes such runs as lost.
+    ///         the current one may have carried out their starts. It must not
+    ///         be reported before, since the decider takes such runs as lost.
     bool has_replaced_runs() const;
 
 private:
