scheduler: Log how long lost agents were silent

Cause: a run that the decider takes as lapsed leaves one line, which does not show whether its agent had been silent for two seconds or for eleven. The two grounds on which the decider does so could not be told apart. Change: agent_lost names the agent, its silence and its runs, once a round. worker_map moves to worker_view.hpp, which defines its elements. Result: decider_service_test.logs_agents_whose_runs_have_lapsed passes.

--- a/packages/scheduler/change_log.cpp
+++ b/packages/scheduler/change_log.cpp
@@ -82,4 +82,13 @@
     }
 }
 
+void log_lost_agents(std::span<lost_agent const> agents)
+{
+    for (auto const& lost : agents) {
+        core::log_event("agent_lost", {{"agent", lost.agent},
+                                       {"silence_ms", lost.silence.count()},
+                                       {"runs", lost.lapsed_runs}});
+    }
+}
+
 } // namespace sequoiaroute::scheduler
--- a/packages/scheduler/change_log.hpp
+++ b/packages/scheduler/change_log.hpp
@@ -3,6 +3,7 @@
 #include "jobs/job_spec.hpp"
 #include "rows/row_store.hpp"
 #include "scheduler/change_list.hpp"
+#include "scheduler/worker_view.hpp"
 
 #include <span>
 
@@ -17,4 +18,8 @@
 /// of each job that has finished.
 void log_changes(std::span<job_change const> changes);
 
+/// Logs the agents whose runs were taken as lapsed because they were silent.
+/// The lines of the runs do not show for how long.
+void log_lost_agents(std::span<lost_agent const> agents);
+
 } // namespace sequoiaroute::scheduler
--- a/packages/scheduler/decider_service.cpp
+++ b/packages/scheduler/decider_service.cpp
@@ -339,6 +339,7 @@
     if (changes.empty())
         return;
     log_changes(changes);
+    log_lost_agents(core_->lost_agents());
     record_job_waits(changes);
     store_changes(std::move(changes));
 }
--- a/packages/scheduler/group_builder.hpp
+++ b/packages/scheduler/group_builder.hpp
@@ -8,15 +8,12 @@
 #include "scheduler/run_time_estimator.hpp"
 #include "scheduler/worker_view.hpp"
 
-#include <map>
 #include <memory>
 #include <string>
 #include <vector>
 
 namespace sequoiaroute::scheduler {
 
-using worker_map = std::map<std::string, worker_view>; ///< by agent
-
 /// Waiting tasks of one step, and the group that represents them in placement.
 struct waiting_tasks
 {
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -247,17 +247,34 @@
 
 void scheduler_core::record_lapsed_runs(decision_time const& time)
 {
+    lost_agents_.clear();
     for (auto& [id, job] : jobs_) {
         for (auto run = job.assignments.begin();
              run != job.assignments.end();) {
             auto const current = run++;
-            if (has_provably_ended(job, current->second, time))
-                end_recorder_.record(job, current, jobs::run_end::lapsed, {},
-                                     time.now);
+            if (!has_provably_ended(job, current->second, time))
+                continue;
+            add_lost_agent(current->second.order.agent, time);
+            end_recorder_.record(job, current, jobs::run_end::lapsed, {},
+                                 time.now);
         }
     }
 }
 
+void scheduler_core::add_lost_agent(std::string const& agent,
+                                    decision_time const& time)
+{
+    auto known = std::find_if(
+        lost_agents_.begin(), lost_agents_.end(),
+        [&](lost_agent const& lost) { return lost.agent == agent; });
+    if (known == lost_agents_.end()) {
+        auto const silence =
+            time.reports_confirmed_at - workers_.at(agent).last_report_at;
+        known = lost_agents_.insert(known, {agent, silence, 0});
+    }
+    ++known->lapsed_runs;
+}
+
 bool scheduler_core::may_repeat_gang(open_job& job, jobs::run_id const& member)
 {
     if (step_of(job, member.task).is_long_running)
--- a/packages/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/scheduler_core.hpp
@@ -106,6 +106,9 @@
     /// @return all changes since the last round, to be stored in this order
     std::vector<job_change> decide(decision_time const& time);
 
+    /// @return the agents whose runs the last round has taken as lapsed
+    std::vector<lost_agent> const& lost_agents() const { return lost_agents_; }
+
     /// @return the requests to the advice service that the last round needs,
     ///         the most urgent first
     std::vector<advice_request> const& advice_requests() const
@@ -149,6 +152,7 @@
 
     /// Records the ends of runs whose workers are lost.
     void record_lapsed_runs(decision_time const& time);
+    void add_lost_agent(std::string const& agent, decision_time const& time);
     /// Adds the progress of occurrences that have become due.
     void open_due_occurrences(open_job& job, std::int64_t unix_ms);
     /// Moves occurrences whose tasks are all done to the finished ones.
@@ -189,6 +193,7 @@
     assignment_index runs_by_agent_;
     run_end_recorder end_recorder_;
     std::vector<advice_request> advice_requests_;
+    std::vector<lost_agent> lost_agents_;
     urgent_headroom urgent_headroom_;
 };
 
--- a/packages/scheduler/worker_view.hpp
+++ b/packages/scheduler/worker_view.hpp
@@ -3,6 +3,10 @@
 #include "core/clock.hpp"
 #include "jobs/worker_report.hpp"
 
+#include <cstdint>
+#include <map>
+#include <string>
+
 namespace sequoiaroute::scheduler {
 
 /// The state of a worker as last reported.
@@ -14,4 +18,15 @@
     core::time_point last_report_at{};
 };
 
+/// An agent whose runs were taken as lapsed, since it had not reported for too
+/// long.
+struct lost_agent
+{
+    std::string agent;
+    core::duration silence{0}; ///< since its last report
+    std::int64_t lapsed_runs = 0;
+};
+
+using worker_map = std::map<std::string, worker_view>; ///< by agent
+
 } // namespace sequoiaroute::scheduler
--- a/tests/scheduler/decider_service_test.cpp
+++ b/tests/scheduler/decider_service_test.cpp
@@ -1,5 +1,6 @@
 #include "scheduler/decider_service.hpp"
 
+#include "core/event_log.hpp"
 #include "jobs/row_codec.hpp"
 #include "rows/row_layout.hpp"
 #include "support/memory_row_store.hpp"
@@ -199,6 +200,22 @@
 
 // Guards against orders that are repeated or lost when the answer of the store
 // is lost.
+// Guards against runs that end as lapsed without a line that shows why.
+TEST_F(decider_service_test, logs_agents_whose_runs_have_lapsed)
+{
+    entry decider(store, timers, "one");
+    add_worker("a");
+    add_job("j");
+    timers.advance(1s);
+    ASSERT_TRUE(order("j"));
+    auto const count = [] { return core::event_counts()["agent_lost"]; };
+    auto const before = count();
+    timers.advance(scheduler_limits{}.lost_after - 3s);
+    EXPECT_EQ(count(), before);
+    timers.advance(4s);
+    EXPECT_EQ(count(), before + 1);
+}
+
 TEST_F(decider_service_test, retries_a_commit_whose_answer_was_lost)
 {
     entry first(store, timers, "one");
