soak: Cut workers off from the store and from each other

Cause: the record of the users shows doubled runs of which one executor is always a part. The soak could not show a member of a gang that runs on behind a cut: its executors learned at once how the others had ended.

--- a/tests/soak/customer_simulator.cpp
+++ b/tests/soak/customer_simulator.cpp
@@ -22,7 +22,6 @@
 constexpr int max_submit_attempts = 5;
 constexpr std::size_t states_per_poll = 12;
 // Probabilities for each job.
-constexpr double gang_probability = 0.4;
 constexpr double two_step_probability = 0.2;
 constexpr double cancel_probability = 0.08;
 constexpr double urgent_probability = 0.4;
--- a/tests/soak/customer_simulator.hpp
+++ b/tests/soak/customer_simulator.hpp
@@ -57,6 +57,8 @@
     /// The share of jobs with more tasks than a transaction of the store has
     /// entries, and than an executor lists ends at once.
     double wide_job_probability = 0;
+    /// The share of the other jobs whose steps are gangs.
+    double gang_probability = 0.4;
     /// The longest work time of a task. Longer tasks come less often.
     core::duration max_work_time = usual_max_work_time;
 
--- a/tests/soak/executor_fault_injector.cpp
+++ b/tests/soak/executor_fault_injector.cpp
@@ -175,6 +175,7 @@
         server->faults = {};
     for (auto const& model : system_.executor_models()) {
         model->is_hanging = false;
+        model->is_cut_off_from_gangs = false;
         model->fails_runs = false;
         model->stop_time = executor_model::usual_stop_time;
     }
--- a/tests/soak/executor_model.cpp
+++ b/tests/soak/executor_model.cpp
@@ -199,6 +199,8 @@
     auto& record = run->second;
     auto const& plan = record.plan;
     if (plan.gang_size > 0) {
+        if (is_cut_off_from_gangs)
+            return;
         auto& gang = gangs_.gang_of(run->first);
         if (gang.is_done)
             return end(run, jobs::run_end::done);
--- a/tests/soak/executor_model.hpp
+++ b/tests/soak/executor_model.hpp
@@ -132,6 +132,9 @@
     static constexpr core::duration usual_stop_time{150};
 
     bool is_hanging = false; ///< runs make no progress
+    /// Members of gangs here do not learn what becomes of the other members,
+    /// and run on.
+    bool is_cut_off_from_gangs = false;
     bool fails_runs = false; ///< runs fail half-way through their work
     core::duration stop_time = usual_stop_time;
 
--- a/tests/soak/executor_model_test.cpp
+++ b/tests/soak/executor_model_test.cpp
@@ -19,14 +19,16 @@
     executor_model_test() { model_.begin_incarnation(); }
 
     /// Starts a run of a job with one step of two tasks, a gang.
-    void start_member(std::int32_t index)
+    void start_member(std::int32_t index) { start_member(index, model_); }
+
+    void start_member(std::int32_t index, executor_model& executor)
     {
         task_plan plan;
         plan.gang_size = 2;
         plan.work_time = core::duration(60'000);
         checker_.jobs()["job"].payload = plan.payload();
-        model_.start({{"job", 0, 0, index}, 1}, plan.payload(),
-                     far_deadline_ms);
+        executor.start({{"job", 0, 0, index}, 1}, plan.payload(),
+                       far_deadline_ms);
     }
 
     void advance(core::duration step)
@@ -74,4 +76,24 @@
     EXPECT_EQ(model_.ends().back().outcome, jobs::run_end::stopped);
 }
 
+// Guards against a simulation in which a cut does not separate the members of a
+// gang: the one that is cut off runs on when another one ends.
+TEST_F(executor_model_test, runs_on_in_a_gang_from_which_it_is_cut_off)
+{
+    executor_model other{"i-2",  "agent-2", {},    max_lease,
+                         clock_, checker_,  gangs_};
+    other.begin_incarnation();
+    start_member(0);
+    start_member(1, other);
+    advance(core::duration(100));
+    other.advance();
+    other.is_cut_off_from_gangs = true;
+    model_.end_incarnation();
+    other.advance();
+    EXPECT_EQ(other.running().size(), 1U);
+    other.is_cut_off_from_gangs = false;
+    other.advance();
+    EXPECT_TRUE(other.running().empty());
+}
+
 } // namespace sequoiaroute::soak
--- a/tests/soak/fault_injector.cpp
+++ b/tests/soak/fault_injector.cpp
@@ -31,6 +31,14 @@
 constexpr core::duration feed_silence_before_return{200};
 constexpr core::duration feed_silence_after_return{800};
 constexpr core::duration stale_reads_gap{4000};
+constexpr core::duration min_worker_cut{3000};
+constexpr core::duration max_worker_cut{9000};
+constexpr std::size_t max_cut_off_workers = 2;
+/// How many other workers are disturbed meanwhile.
+constexpr std::size_t min_disturbed_workers = 2;
+constexpr std::size_t max_disturbed_workers = 4;
+constexpr core::duration max_worker_downtime{1500};
+constexpr double crash_probability = 0.7;
 constexpr double injected_loss_probability = 0.35;
 constexpr double injected_late_probability = 0.25;
 
@@ -51,6 +59,8 @@
         return begin_store_outage();
     if (selected_ == selection::stale_reads)
         return begin_stale_reads();
+    if (selected_ == selection::cut_off_workers)
+        return begin_worker_cuts();
     auto const factor =
         selected_ == selection::processes ? process_fault_delay_factor : 1;
     auto const delay = random_.between(min_fault_delay, max_fault_delay);
@@ -118,6 +128,59 @@
         });
 }
 
+void fault_injector::begin_worker_cuts()
+{
+    auto const count = system_.agents().size();
+    auto const first = random_.below(count);
+    auto const cut_off = 1 + random_.below(max_cut_off_workers);
+    auto const disturbed =
+        min_disturbed_workers +
+        random_.below(max_disturbed_workers - min_disturbed_workers + 1);
+    for (std::size_t offset = 0; offset < cut_off; ++offset)
+        cut_off_worker((first + offset) % count);
+    for (std::size_t offset = 0; offset < disturbed; ++offset) {
+        auto const index = (first + cut_off + offset) % count;
+        schedule_.call_later(random_.between(core::duration(0), min_worker_cut),
+                             [this, index] { break_gangs_of(index); });
+    }
+    next_fault_timer_ =
+        loop_.after(random_.between(min_worker_cut, max_worker_cut), [this] {
+            if (!is_healed_)
+                begin_worker_cuts();
+        });
+}
+
+void fault_injector::cut_off_worker(std::size_t index)
+{
+    auto& agent = system_.agents()[index];
+    auto& model = *system_.executor_models()[index];
+    set_store_faults(&agent, [](store_faults& faults) {
+        faults.mode = store_faults::response::silent;
+    });
+    model.is_cut_off_from_gangs = true;
+    schedule_.begin(
+        "worker cut off",
+        [this, &agent, &model] {
+            set_store_faults(&agent, [](store_faults& faults) { faults = {}; });
+            model.is_cut_off_from_gangs = false;
+        },
+        random_.between(min_worker_cut, max_worker_cut));
+}
+
+void fault_injector::break_gangs_of(std::size_t index)
+{
+    if (random_.happens(crash_probability)) {
+        schedule_.count("executor crashes");
+        return system_.executor_servers()[index]->crash(
+            random_.between(min_fault_duration, max_worker_downtime));
+    }
+    auto& model = *system_.executor_models()[index];
+    model.fails_runs = true;
+    schedule_.begin(
+        "executor fails runs", [&model] { model.fails_runs = false; },
+        random_.between(min_fault_duration, max_fault_duration));
+}
+
 void fault_injector::set_store_faults(
     system_process const* only,
     std::function<void(store_faults&)> const& change)
--- a/tests/soak/fault_injector.hpp
+++ b/tests/soak/fault_injector.hpp
@@ -26,6 +26,9 @@
         /// Agents lose the store for about as long as their leases last. When
         /// they return, the store drops its history and serves stale reads.
         stale_reads,
+        /// Workers lose the store and the other workers while they run on, and
+        /// others fail runs or crash meanwhile.
+        cut_off_workers,
         executors, ///< those of executor_fault_injector
         processes, ///< those of process_fault_injector
         mixed,     ///< all, executors and processes
@@ -60,6 +63,12 @@
     /// Cuts some agents off from the store, makes its reads stale around their
     /// return, and schedules the next time.
     void begin_stale_reads();
+    /// Cuts some workers off, disturbs others, and schedules the next time.
+    void begin_worker_cuts();
+    /// Cuts a worker off from the store and from the other workers.
+    void cut_off_worker(std::size_t index);
+    /// Makes a worker fail runs or crash, which breaks its gangs.
+    void break_gangs_of(std::size_t index);
     /// Changes the faults of the store for one process, or for all.
     /// @param only the process; nullptr for all
     void set_store_faults(system_process const* only,
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -25,13 +25,14 @@
 ABSL_FLAG(std::size_t, entries, 3, "number of entries");
 ABSL_FLAG(std::size_t, workers, 4, "number of workers");
 ABSL_FLAG(std::string, faults, "all",
-          "all, store_outages, stale_reads, executors, processes or mixed; see "
-          "README.md");
+          "all, store_outages, stale_reads, cut_off_workers, executors, "
+          "processes or mixed; see README.md");
 ABSL_FLAG(int, lease_ms, 2000, "the longest lease that executors grant");
 ABSL_FLAG(int, stop_ms, 300, "the longest time that executors take for a stop");
 ABSL_FLAG(int, work_ms, 2500, "the longest work time of a task");
 ABSL_FLAG(double, wide_jobs, 0,
           "share of the jobs that have hundreds of short tasks");
+ABSL_FLAG(double, gangs, 0.4, "share of the other jobs whose steps are gangs");
 
 namespace {
 
@@ -74,6 +75,7 @@
         {"all", fault_selection::all},
         {"store_outages", fault_selection::store_outages},
         {"stale_reads", fault_selection::stale_reads},
+        {"cut_off_workers", fault_selection::cut_off_workers},
         {"executors", fault_selection::executors},
         {"processes", fault_selection::processes},
         {"mixed", fault_selection::mixed}};
@@ -197,9 +199,8 @@
         return EXIT_FAILURE;
     auto const faults = parse_faults(absl::GetFlag(FLAGS_faults));
     if (!faults) {
-        fmt::print(
-            "--faults must be all, store_outages, stale_reads, executors, "
-            "processes or mixed\n");
+        fmt::print("--faults must be all, store_outages, stale_reads, "
+                   "cut_off_workers, executors, processes or mixed\n");
         return EXIT_FAILURE;
     }
     auto const directory = make_directory();
@@ -217,6 +218,7 @@
     }
     auto& customers = core::value(system)->customers();
     customers.wide_job_probability = absl::GetFlag(FLAGS_wide_jobs);
+    customers.gang_probability = absl::GetFlag(FLAGS_gangs);
     customers.max_work_time = core::duration(absl::GetFlag(FLAGS_work_ms));
     if (*faults == fault_selection::stale_reads)
         core::value(system)->checker().visibility_delay = max_visibility_delay;
