scheduler: Take no member of a gang as ended by the ends of others

What callers saw: tasks ran twice; one executor took part in all doubled runs of a moment. Cause: once a member of a gang was reported as broken, the decider took members on agents that had not reported for 2 s as ended, and began the next run of the gang. An executor that is cut off from the others does not learn of their ends, so its member runs on until its lease expires. Class: the state of one executor is taken from what others report. Change: only the executor's list or an expired lease ends a run. may_repeat_gang(), most_failed_gang_attempts(), gang_ended_at and the limit of a stop in the scheduler are needless. scheduler_core_test.restarts_a_gang_when_a_member_was_lost required the fault: it let the gang start again 2.5 s after the last report of the silent member. waits_for_the_lease_of_a_silent_member_of_a_gang has the same setup and requires the start after the lease, and none before.

--- a/packages/programs/schedule_entry.cpp
+++ b/packages/programs/schedule_entry.cpp
@@ -72,7 +72,6 @@
     jobs::lease_timing const timing{settings.time("bounds.lease"),
                                     settings.time("bounds.stop")};
     limits.lost_after = timing.lost_after();
-    limits.max_stop_time = timing.max_stop_time;
     limits.finished_job_retention =
         settings.time("bounds.state_kept") + retention_margin;
     return limits;
--- a/packages/scheduler/job_tasks.cpp
+++ b/packages/scheduler/job_tasks.cpp
@@ -1,7 +1,6 @@
 #include "scheduler/job_tasks.hpp"
 
 #include <algorithm>
-#include <set>
 
 namespace sequoiaroute::scheduler {
 
@@ -50,24 +49,6 @@
     return {id.occurrence, id.step};
 }
 
-std::int32_t most_failed_gang_attempts(open_job& job,
-                                       jobs::run_id const& member)
-{
-    auto const& id = member.task;
-    auto const& occurrence = job.progress.occurrences.at(id.occurrence);
-    std::set<std::int64_t> unknown{member.run};
-    for (auto const& task : occurrence.steps[static_cast<std::size_t>(id.step)])
-        unknown.insert(task.unconfirmed_runs.begin(),
-                       task.unconfirmed_runs.end());
-    if (auto const counted = occurrence.failed_gang_runs.find(id.step);
-        counted != occurrence.failed_gang_runs.end()) {
-        for (auto const run : counted->second)
-            unknown.erase(run);
-    }
-    return find_task(job, id)->failures +
-           static_cast<std::int32_t>(unknown.size());
-}
-
 jobs::task_progress* find_checkpoint_owner(open_job& job, jobs::task_id id)
 {
     if (step_of(job, id).is_gang)
--- a/packages/scheduler/job_tasks.hpp
+++ b/packages/scheduler/job_tasks.hpp
@@ -26,13 +26,6 @@
 /// @return the step and occurrence that a task belongs to
 step_key step_key_of(jobs::task_id const& id);
 
-/// @param member a member of a gang whose occurrence is open
-/// @return how many attempts of the gang have failed at most: those that are
-///         known to, and all whose end is not known yet, the present one
-///         included
-std::int32_t most_failed_gang_attempts(open_job& job,
-                                       jobs::run_id const& member);
-
 /// Finds the task that stores the checkpoint: the task itself or, in a gang,
 /// its first member, since a checkpoint of any member is valid for all.
 /// @return the progress of that task; null as for find_task()
--- a/packages/scheduler/open_job.hpp
+++ b/packages/scheduler/open_job.hpp
@@ -43,9 +43,6 @@
     core::time_point last_seen_at{}; ///< when a report last listed it
     /// When the first end of another member of its gang was recorded.
     std::optional<core::time_point> gang_broken_at;
-    /// Since when the whole gang is known to be ending: another member has
-    /// ended because of the end of a further one.
-    std::optional<core::time_point> gang_ended_at;
 
     /// The speed of its worker has been derived from its progress.
     bool is_speed_recorded = false;
--- a/packages/scheduler/run_end_recorder.cpp
+++ b/packages/scheduler/run_end_recorder.cpp
@@ -62,7 +62,7 @@
     default:
         break;
     }
-    mark_gang_broken(job, order.run, end, now);
+    mark_gang_broken(job, order.run, now);
 }
 
 bool run_end_recorder::record_late(open_job& job, std::string const& agent,
@@ -128,7 +128,7 @@
 
 void run_end_recorder::mark_gang_broken(open_job& job,
                                         jobs::run_id const& ended,
-                                        jobs::run_end end, core::time_point now)
+                                        core::time_point now)
 {
     if (!step_of(job, ended.task).is_gang)
         return;
@@ -137,8 +137,6 @@
             continue;
         if (!run.gang_broken_at)
             run.gang_broken_at = now;
-        if (end == jobs::run_end::broken && !run.gang_ended_at)
-            run.gang_ended_at = now;
     }
 }
 
--- a/packages/scheduler/run_end_recorder.hpp
+++ b/packages/scheduler/run_end_recorder.hpp
@@ -47,7 +47,7 @@
     void record_failure(open_job& job, std::string const& agent,
                         jobs::run_id const& failed, core::time_point now);
     void mark_gang_broken(open_job& job, jobs::run_id const& ended,
-                          jobs::run_end end, core::time_point now);
+                          core::time_point now);
 
     change_list& changes_;
     assignment_index& index_;
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -252,7 +252,7 @@
         for (auto run = job.assignments.begin();
              run != job.assignments.end();) {
             auto const current = run++;
-            if (!has_provably_ended(job, current->second, time))
+            if (!has_lease_expired(current->second, time))
                 continue;
             add_lost_agent(current->second.order.agent, time);
             end_recorder_.record(job, current, jobs::run_end::lapsed, {},
@@ -275,34 +275,15 @@
     ++known->lapsed_runs;
 }
 
-bool scheduler_core::may_repeat_gang(open_job& job, jobs::run_id const& member)
-{
-    if (step_of(job, member.task).is_long_running)
-        return true;
-    return find_task(job, member.task) != nullptr &&
-           most_failed_gang_attempts(job, member) <
-               job.submission.parameters.max_attempts;
-}
-
-bool scheduler_core::has_provably_ended(open_job& job, assignment const& run,
-                                        decision_time const& time) const
+/// The ends of other members of its gang do not show that a run has ended: its
+/// executor may be cut off from theirs, and runs on until the lease expires.
+bool scheduler_core::has_lease_expired(assignment const& run,
+                                       decision_time const& time) const
 {
     auto const worker = workers_.find(run.order.agent);
-    if (worker == workers_.end())
-        return false;
-    auto const silence =
-        time.reports_confirmed_at - worker->second.last_report_at;
-    // A member ends as broken because another one has ended. The members of a
-    // gang end together, so those on silent workers have ended as well, unless
-    // they are still being stopped. One that was never seen may still start, if
-    // its order is carried out late. If the silent one may have failed as the
-    // last attempt, its end is waited for.
-    if (run.gang_ended_at && run.first_seen_at &&
-        time.now - *run.gang_ended_at > limits_.max_stop_time &&
-        silence > limits_.report_freshness_limit &&
-        may_repeat_gang(job, run.order.run))
-        return true;
-    return silence > limits_.lost_after;
+    return worker != workers_.end() &&
+           time.reports_confirmed_at - worker->second.last_report_at >
+               limits_.lost_after;
 }
 
 void scheduler_core::open_due_occurrences(open_job& job, std::int64_t unix_ms)
--- a/packages/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/scheduler_core.hpp
@@ -24,8 +24,6 @@
     /// All leases of runs on a worker have expired if its newest report is
     /// older than this, so its runs are taken to have ended.
     core::duration lost_after{18'000};
-    /// The longest time that an executor takes to stop a run.
-    core::duration max_stop_time{1000};
     /// How long the rows of a finished job are kept; counted from the takeover
     /// if it finished under an earlier decider.
     core::duration finished_job_retention{180'000};
@@ -137,13 +135,10 @@
     /// Records how a run ended that had been taken as lost.
     void record_late_end(std::string const& agent, jobs::ended_run const& late,
                          core::time_point now);
-    /// @return whether an attempt of a gang is left even if all of its runs of
-    ///         unknown end have failed; tasks that last have no limit
-    static bool may_repeat_gang(open_job& job, jobs::run_id const& member);
-    /// @return whether a run on a silent worker must have ended, and how it
-    ///         ended need not be known
-    bool has_provably_ended(open_job& job, assignment const& run,
-                            decision_time const& time) const;
+    /// @return whether the worker of a run has been silent for so long that the
+    ///         lease of the run has certainly expired
+    bool has_lease_expired(assignment const& run,
+                           decision_time const& time) const;
     void stop_run(open_job& job, assignment& run, std::string_view reason);
     /// Stops the run of a task or, if it is a member of a gang, of all members.
     void stop_step(open_job& job, jobs::task_id const& member,
--- a/tests/scheduler/scheduler_core_test.cpp
+++ b/tests/scheduler/scheduler_core_test.cpp
@@ -233,9 +233,9 @@
     EXPECT_TRUE(decide_starts().empty());
 }
 
-// A worker is lost with one member of an urgent gang, which was running. The
-// other member ends as broken, which shows that the silent one has ended too.
-TEST_F(scheduler_core_test, restarts_a_gang_when_a_member_was_lost)
+// Guards against a gang of which one member runs twice: its executor is cut off
+// from those of the others, so it runs on after they have ended as broken.
+TEST_F(scheduler_core_test, waits_for_the_lease_of_a_silent_member_of_a_gang)
 {
     add_worker("a");
     add_worker("b");
@@ -243,13 +243,24 @@
     add_job("g", 2, 8, true, 0);
     auto const started = decide_starts();
     ASSERT_EQ(started.size(), 2U);
-    report_running(started[1], 10);
+    auto const& silent = started[1];
+    report_running(silent, 10);
     now_ += 1s;
     report_end(started[0], jobs::run_end::broken);
     EXPECT_TRUE(decide_starts().empty());
-    now_ += 1500ms;
-    core_.receive_report(reports_.at("c"), now_);
-    core_.receive_report(reports_.at(started[0].agent), now_);
+    auto const report_others = [&] {
+        for (auto const& [agent, report] : reports_) {
+            if (agent != silent.agent)
+                core_.receive_report(report, now_);
+        }
+    };
+    for (auto const step : {1500ms, 2500ms, 13000ms}) {
+        now_ += step;
+        report_others();
+        EXPECT_TRUE(decide_starts().empty());
+    }
+    now_ += 1s;
+    report_others();
     auto const restarted = decide_starts();
     ASSERT_EQ(restarted.size(), 2U);
     EXPECT_EQ(restarted[0].run.run, 2);
