--- a/tests/soak/fault_injector.cpp
+++ b/tests/soak/fault_injector.cpp
@@ -11,7 +11,8 @@
 /// The time between two faults.
 constexpr core::duration min_fault_delay{150};
 constexpr core::duration max_fault_delay{900};
-/// Faults of processes last for many seconds, so they come less often.
+/// Faults of processes and machines last for many seconds, so they come less
+/// often.
 constexpr int process_fault_delay_factor = 3;
 constexpr core::duration min_fault_duration{300};
 constexpr core::duration max_fault_duration{4000};
@@ -49,7 +50,8 @@
     : loop_(loop), random_(random), system_(system), selected_(selected),
       schedule_(loop, random, system),
       executor_faults_(random, system, schedule_),
-      process_faults_(random, system, schedule_)
+      process_faults_(random, system, schedule_),
+      machine_faults_(random, system, schedule_)
 {
 }
 
@@ -61,8 +63,9 @@
         return begin_stale_reads();
     if (selected_ == selection::cut_off_workers)
         return begin_worker_cuts();
-    auto const factor =
-        selected_ == selection::processes ? process_fault_delay_factor : 1;
+    bool const is_long =
+        selected_ == selection::processes || selected_ == selection::machines;
+    auto const factor = is_long ? process_fault_delay_factor : 1;
     auto const delay = random_.between(min_fault_delay, max_fault_delay);
     next_fault_timer_ = loop_.after(factor * delay, [this] {
         inject_selected_fault();
@@ -203,6 +206,8 @@
 
 void fault_injector::inject_selected_fault()
 {
+    if (selected_ == selection::machines)
+        return machine_faults_.inject();
     auto const group = selected_ == selection::mixed ? random_.below(3) : 0;
     if (selected_ == selection::executors || group == 1)
         return executor_faults_.inject();
--- a/tests/soak/fault_injector.hpp
+++ b/tests/soak/fault_injector.hpp
@@ -2,6 +2,7 @@
 
 #include "soak/executor_fault_injector.hpp"
 #include "soak/fault_schedule.hpp"
+#include "soak/machine_fault_injector.hpp"
 #include "soak/process_fault_injector.hpp"
 
 #include <functional>
@@ -31,6 +32,7 @@
         cut_off_workers,
         executors, ///< those of executor_fault_injector
         processes, ///< those of process_fault_injector
+        machines,  ///< those of machine_fault_injector
         mixed,     ///< all, executors and processes
     };
 
@@ -93,6 +95,7 @@
     fault_schedule schedule_;
     executor_fault_injector executor_faults_;
     process_fault_injector process_faults_;
+    machine_fault_injector machine_faults_;
     std::unique_ptr<event::timer> next_fault_timer_;
 };
 
