agents: Confirm that another executor answers before it replaces one

What callers saw: all runs of one executor ran twice, and it got no more work. Cause: a heartbeat that names another executor with a later start made the agent report its own executor as replaced, and the decider take its runs as lost. The platform lets heartbeats of other programs arrive. Class: what a message implies is taken as a fact about another executor. Ruled out: a list of configured services, since another program may name a configured one. Change: the heartbeat is kept until the lists at the executor's address show its start time, or the lease of the present executor has expired. It is dropped if the present one answers. No poll extends a lease meanwhile. Result: agent_service_test.keeps_its_executor_when_another_one_is_ announced and uses_an_announced_executor_once_the_lease_has_expired failed before.

--- a/packages/agents/agent_service.cpp
+++ b/packages/agents/agent_service.cpp
@@ -135,6 +135,25 @@
 
 void agent_service::receive_heartbeat(jobs::worker_description worker,
                                       std::int64_t sequence)
+{
+    if (!needs_confirmation(worker))
+        return accept_heartbeat(std::move(worker), sequence);
+    announced_ = announcement{std::move(worker), sequence, timers_.now()};
+    refresh_snapshot();
+    poll_executor();
+}
+
+/// The runs of the present executor would count as lost.
+bool agent_service::needs_confirmation(
+    jobs::worker_description const& announced) const
+{
+    return !worker_.executor.id.empty() &&
+           announced.executor.id != worker_.executor.id &&
+           worker_.state != jobs::worker_state::gone;
+}
+
+void agent_service::accept_heartbeat(jobs::worker_description worker,
+                                     std::int64_t sequence)
 {
     bool const is_same = worker.executor == worker_.executor;
     // A delayed heartbeat of an earlier incarnation, or one out of order.
@@ -203,6 +222,7 @@
         has_deregistered_ = false;
         incarnation_confirmed_at_ = {};
         refused_since_.reset();
+        announced_.reset();
     }
     if (is_new || has_new_state || worker.capacity != worker_.capacity) {
         publisher_.mark_outdated();
@@ -337,7 +357,7 @@
 void agent_service::send_poll(core::time_point now, core::duration wait,
                               std::function<void(executor_snapshot)> done)
 {
-    if (lease_.is_suspended())
+    if (lease_.is_suspended() || announced_)
         return runtime_.poll(0, std::nullopt, core::duration(0),
                              std::move(done));
     runtime_.poll(ends_.acknowledged_number(),
@@ -349,7 +369,8 @@
 void agent_service::refresh_snapshot()
 {
     auto const requested_at = timers_.now();
-    if (!is_polling_ || is_refreshing_ || !tracker_.needs_snapshot() ||
+    bool const is_needed = announced_ || tracker_.needs_snapshot();
+    if (!is_polling_ || is_refreshing_ || !is_needed ||
         requested_at < next_refresh_at_)
         return;
     is_refreshing_ = true;
@@ -369,6 +390,8 @@
                                      core::time_point requested_at)
 {
     refused_since_.reset();
+    if (announced_ && announced_->worker.executor.born_ms == snapshot.born_ms)
+        return accept_announcement();
     if (snapshot.born_ms != worker_.executor.born_ms) {
         // A new incarnation whose first heartbeat has not arrived yet.
         lease_.suspend();
@@ -376,6 +399,8 @@
         next_poll_at_ = timers_.now() + retry_delay;
         return;
     }
+    if (announced_ && announced_->received_at <= requested_at)
+        reject_announcement();
     lease_.resume();
     incarnation_confirmed_at_ = requested_at;
     lease_.record_clock(snapshot.clock_ms, timers_.now());
@@ -402,6 +427,21 @@
         [this] { poll_executor(); });
 }
 
+void agent_service::accept_announcement()
+{
+    auto confirmed = *std::exchange(announced_, std::nullopt);
+    accept_heartbeat(std::move(confirmed.worker), confirmed.sequence);
+}
+
+void agent_service::reject_announcement()
+{
+    auto const& other = announced_->worker.executor;
+    core::log_event("heartbeat_rejected", {{"executor", other.id},
+                                           {"born_ms", other.born_ms},
+                                           {"current", worker_.executor.id}});
+    announced_.reset();
+}
+
 void agent_service::receive_poll_failure(bool is_connection_refused)
 {
     auto const now = timers_.now();
@@ -417,6 +457,8 @@
         return;
     if (has_deregistered_ && (is_connection_refused || lease_.has_run_out(now)))
         return mark_executor_gone("deregistered");
+    if (announced_ && lease_.has_run_out(now))
+        return accept_announcement();
     if (refuses_connections())
         avoid_executor();
     if (!have_all_runs_ended())
--- a/packages/agents/agent_service.hpp
+++ b/packages/agents/agent_service.hpp
@@ -47,7 +47,8 @@
 
     /// Updates the worker from a heartbeat of its executor. Heartbeats are
     /// ignored if they arrive out of order, or come from an incarnation that
-    /// has been replaced or is gone.
+    /// has been replaced or is gone. One that names another executor counts
+    /// only once that one answers at the executor's address.
     /// @param worker the executor's description of the worker
     /// @param sequence increases with each heartbeat of an incarnation
     void receive_heartbeat(jobs::worker_description worker,
@@ -66,6 +67,17 @@
                                 std::optional<std::int64_t> born_ms);
 
 private:
+    /// A heartbeat that names another executor than the current one.
+    struct announcement
+    {
+        jobs::worker_description worker;
+        std::int64_t sequence = 0;
+        core::time_point received_at{};
+    };
+
+    void accept_heartbeat(jobs::worker_description worker,
+                          std::int64_t sequence);
+    bool needs_confirmation(jobs::worker_description const& announced) const;
     void receive_order(rows::row const& changed);
     void on_orders_updated();
     void advance_runs();
@@ -78,6 +90,10 @@
     run_tracker::start_permission start_permission(core::time_point now) const;
     void receive_snapshot(executor_snapshot const& snapshot,
                           core::time_point requested_at);
+    /// Makes the announced executor the current one.
+    void accept_announcement();
+    /// Drops an announcement, since the present executor still answers.
+    void reject_announcement();
     void receive_poll_failure(bool is_connection_refused);
     bool refuses_connections() const;
     bool have_all_runs_ended() const;
@@ -116,6 +132,8 @@
     /// The executor counts as gone because it could not be reached until its
     /// lease ran out. Its next heartbeat shows that it still exists.
     bool is_presumed_gone_ = false;
+    /// Until it is confirmed or rejected. Another program may have sent it.
+    std::optional<announcement> announced_;
     executor_lease lease_;
 
     /// When the last snapshot that came from the current incarnation was
--- a/tests/agents/agent_service_test.cpp
+++ b/tests/agents/agent_service_test.cpp
@@ -147,6 +147,16 @@
         agent->receive_heartbeat(worker, ++sequence);
     }
 
+    /// Sends a heartbeat of another executor at the address of the agent.
+    void announce_executor(std::string const& id, std::int64_t born_ms)
+    {
+        jobs::worker_description worker;
+        worker.executor = {id, born_ms};
+        worker.service = "s";
+        worker.state = jobs::worker_state::ready;
+        agent->receive_heartbeat(worker, 1);
+    }
+
     static jobs::run_order make_order(std::int32_t index)
     {
         jobs::run_order order;
@@ -911,5 +921,58 @@
     EXPECT_EQ(report().worker.state, jobs::worker_state::gone);
 }
 
+// Guards against tasks that run twice: a heartbeat of another program, which
+// names another executor, makes the agent report the runs of its own as lost.
+TEST_F(agent_service_test, keeps_its_executor_when_another_one_is_announced)
+{
+    begin();
+    auto const order = make_order(0);
+    put_order(order);
+    timers.advance(100ms);
+    announce_executor("i-9", 5);
+    timers.advance(2s);
+    EXPECT_EQ(report().worker.executor.id, "i-1");
+    EXPECT_TRUE(report().ended.empty());
+    EXPECT_TRUE(executor.running.contains(order.run));
+    EXPECT_GT(executor.lease_end_ms, executor.clock_ms() + 4000);
+    heartbeat(jobs::worker_state::draining);
+    timers.advance(200ms);
+    EXPECT_EQ(report().worker.state, jobs::worker_state::draining);
+}
+
+// Guards against a successor that is not used, and against runs of its
+// predecessor that are never started again.
+TEST_F(agent_service_test, uses_an_announced_executor_that_answers)
+{
+    begin();
+    put_order(make_order(0));
+    timers.advance(100ms);
+    executor.running.clear();
+    executor.born_ms = 5;
+    announce_executor("i-9", 5);
+    timers.advance(300ms);
+    EXPECT_EQ(report().worker.executor.id, "i-9");
+    ASSERT_EQ(report().ended.size(), 1U);
+    EXPECT_EQ(report().ended[0].end, jobs::run_end::lost);
+}
+
+// Guards against a successor that is never used because the path to it is
+// broken when it announces itself, and against runs that count as lost before
+// the lease of its predecessor has expired.
+TEST_F(agent_service_test,
+       uses_an_announced_executor_once_the_lease_has_expired)
+{
+    begin();
+    put_order(make_order(0));
+    timers.advance(100ms);
+    executor.is_silent = true;
+    announce_executor("i-9", 5);
+    timers.advance(7s);
+    EXPECT_EQ(report().worker.executor.id, "i-1");
+    EXPECT_LT(executor.lease_end_ms, executor.clock_ms());
+    timers.advance(4s);
+    EXPECT_EQ(report().worker.executor.id, "i-9");
+}
+
 } // namespace
 } // namespace sequoiaroute::agents
--- a/tests/soak/executor_fault_injector.cpp
+++ b/tests/soak/executor_fault_injector.cpp
@@ -119,6 +119,7 @@
 
 void executor_fault_injector::delay_heartbeats(target const& hit)
 {
+    hit.server.send_foreign_heartbeat();
     hit.server.faults.late_heartbeat_probability = late_probability;
     schedule_.begin(
         "heartbeats out of order",
--- a/tests/soak/executor_server.cpp
+++ b/tests/soak/executor_server.cpp
@@ -24,6 +24,7 @@
 constexpr core::duration min_message_delay{300};
 constexpr core::duration max_message_delay{6000};
 constexpr core::duration message_timeout{500};
+std::string const heartbeat_path = "/sequoiaroute/Instances.Heartbeat/";
 /// How long an executor runs on if its deregistration is not acknowledged.
 constexpr core::duration min_unacknowledged_time{500};
 constexpr core::duration max_unacknowledged_time{4000};
@@ -188,33 +189,46 @@
                     [this, path, body] { send(path, body); }));
 }
 
+core::json executor_server::describe()
+{
+    auto const& capacity = model_.capacity();
+    return {{"Service", "s"},
+            {"Addr", endpoints_.own},
+            {"Zone", "z"},
+            {"State", is_draining_ ? "draining" : "ready"},
+            {"Capacity",
+             {{"Cpu", capacity.millicores},
+              {"MemMb", capacity.memory_mb},
+              {"Gpu", capacity.accelerators}}},
+            {"Labels", {"a", rack_}},
+            {"born", model_.born_ms()},
+            {"Seq", ++sequence_}};
+}
+
 void executor_server::send_heartbeat()
 {
     if (!model_.is_up())
         return;
-    auto const& capacity = model_.capacity();
-    json body{{"Service", "s"},
-              {"Addr", endpoints_.own},
-              {"Zone", "z"},
-              {"State", is_draining_ ? "draining" : "ready"},
-              {"Capacity",
-               {{"Cpu", capacity.millicores},
-                {"MemMb", capacity.memory_mb},
-                {"Gpu", capacity.accelerators}}},
-              {"Labels", {"a", rack_}},
-              {"born", model_.born_ms()},
-              {"Seq", ++sequence_}};
+    auto body = describe();
     if (is_draining_) {
         body["RemainingMs"] =
             std::max<std::int64_t>((drain_end_ - loop_.now()).count(), 0);
     }
-    auto const path = "/sequoiaroute/Instances.Heartbeat/" + model_.id();
+    auto const path = heartbeat_path + model_.id();
     if (faults.late_heartbeat_probability > 0 &&
         random_.happens(faults.late_heartbeat_probability))
         return send_later(path, body.dump());
     send(path, body.dump());
 }
 
+void executor_server::send_foreign_heartbeat()
+{
+    auto body = describe();
+    body["Service"] = "another";
+    body["born"] = loop_.now().time_since_epoch().count();
+    send(heartbeat_path + ("another-" + model_.id()), body.dump());
+}
+
 void executor_server::drain(core::duration remaining)
 {
     if (!model_.is_up() || is_draining_)
--- a/tests/soak/executor_server.hpp
+++ b/tests/soak/executor_server.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "core/codec.hpp"
 #include "event/event_loop.hpp"
 #include "event/evhttp_client.hpp"
 #include "event/http_server.hpp"
@@ -75,6 +76,10 @@
     /// Ends and starts again at once, as behind a cut: no connection shows it.
     void restart_unnoticed();
 
+    /// Sends a heartbeat of an executor that does not exist, of a service that
+    /// is not configured, as another program might.
+    void send_foreign_heartbeat();
+
     /// Closes all connections; new ones are accepted soon after.
     void reset_connections() { close_listener(); }
 
@@ -98,6 +103,8 @@
     /// Advances the model and answers long polls.
     void tick();
     void send_heartbeat();
+    /// @return what a heartbeat of this executor says
+    core::json describe();
     /// Deregisters, and ends once that is acknowledged, or a little later.
     void leave();
     /// Sends a message to the agent, unless the path loses it.
