rows: Let the store's clock ignore answers without a time

Cause: the rule that a time of zero is none stood in report_publisher and in table_replica, around each call of store_clock::record(). is_known() was used by a test only. Change: store_clock has the rule; the two wrappers and is_known() go.

--- a/packages/agents/report_publisher.cpp
+++ b/packages/agents/report_publisher.cpp
@@ -32,24 +32,23 @@
 {
     auto const key = rows::layout::report_row(agent_);
     std::weak_ptr<bool> const alive = alive_;
-    store_.read(rows::layout::single_row_range(key),
-                [this, alive, sent_at = timers_.now(),
-                 on_loaded = std::move(on_loaded)](rows::page const& page) {
-                    if (alive.expired())
-                        return;
-                    if (!page.is_ok) {
-                        load_timer_ =
-                            timers_.after(min_retry_delay, [this, on_loaded] {
-                                load(on_loaded);
-                            });
-                        return;
-                    }
-                    record_store_time(page.store_time, sent_at);
-                    if (!page.rows.empty())
-                        receive_previous_report(page.rows[0]);
-                    begin_session("the agent has started");
-                    on_loaded();
-                });
+    store_.read(
+        rows::layout::single_row_range(key),
+        [this, alive, sent_at = timers_.now(),
+         on_loaded = std::move(on_loaded)](rows::page const& page) {
+            if (alive.expired())
+                return;
+            if (!page.is_ok) {
+                load_timer_ = timers_.after(
+                    min_retry_delay, [this, on_loaded] { load(on_loaded); });
+                return;
+            }
+            store_clock_.record(page.store_time, sent_at, timers_.now());
+            if (!page.rows.empty())
+                receive_previous_report(page.rows[0]);
+            begin_session("the agent has started");
+            on_loaded();
+        });
 }
 
 void report_publisher::receive_previous_report(rows::row const& stored)
@@ -62,13 +61,6 @@
     written_at_ = previous_report_->written_at;
 }
 
-void report_publisher::record_store_time(core::duration store_time,
-                                         core::time_point sent_at)
-{
-    if (store_time != core::duration(0))
-        store_clock_.record(store_time, sent_at, timers_.now());
-}
-
 void report_publisher::begin_session(std::string_view reason)
 {
     session_.begin(timers_.now());
@@ -145,7 +137,7 @@
                                       callback const& done)
 {
     is_publishing_ = false;
-    record_store_time(result.store_time, sent_at_);
+    store_clock_.record(result.store_time, sent_at_, timers_.now());
     store_latency_.record(result.outcome, timers_.now() - sent_at_);
     bool const is_conflict = result.outcome == rows::commit_outcome::conflict;
     if (result.outcome == rows::commit_outcome::committed) {
--- a/packages/agents/report_publisher.hpp
+++ b/packages/agents/report_publisher.hpp
@@ -94,7 +94,6 @@
     ///         earlier attempt took effect without an answer
     bool resolve_conflict(rows::commit_result const& conflict);
     void retry_later(callback const& done);
-    void record_store_time(core::duration store_time, core::time_point sent_at);
 
     rows::row_store& store_;
     event::timer_service& timers_;
--- a/packages/rows/store_clock.cpp
+++ b/packages/rows/store_clock.cpp
@@ -7,6 +7,8 @@
 void store_clock::record(core::duration store_time, core::time_point sent_at,
                          core::time_point received_at)
 {
+    if (store_time == core::duration(0))
+        return;
     auto const least_offset = store_time - received_at.time_since_epoch();
     auto const greatest_offset = store_time - sent_at.time_since_epoch();
     offset_ = std::clamp(offset_.value_or(least_offset), least_offset,
--- a/packages/rows/store_clock.hpp
+++ b/packages/rows/store_clock.hpp
@@ -15,15 +15,13 @@
 public:
     /// Adds an answer of the store. The estimate changes only as far as the
     /// answer contradicts it.
-    /// @param store_time the time in the answer
+    /// @param store_time the time in the answer; zero if it has none, which
+    ///        changes nothing
     /// @param sent_at when the call was sent
     /// @param received_at when the answer arrived
     void record(core::duration store_time, core::time_point sent_at,
                 core::time_point received_at);
 
-    /// @return whether an answer was recorded
-    bool is_known() const { return offset_.has_value(); }
-
     /// @return the estimated time of the store's clock; zero if it is not known
     core::duration time(core::time_point now) const;
 
--- a/packages/rows/table_replica.cpp
+++ b/packages/rows/table_replica.cpp
@@ -69,12 +69,6 @@
     return store_clock_.time(timers_.now());
 }
 
-void table_replica::record_store_time(core::duration store_time)
-{
-    if (store_time != core::duration(0))
-        store_clock_.record(store_time, sent_at_, timers_.now());
-}
-
 row_version table_replica::version_of(row_key const& key) const
 {
     auto const found = rows_.find(key);
@@ -103,7 +97,8 @@
                     if (!result.is_ok || result.version < version_)
                         return retry([this] { load(); });
                     loading_version_ = result.version;
-                    record_store_time(result.store_time);
+                    store_clock_.record(result.store_time, sent_at_,
+                                        timers_.now());
                     list_parts();
                 });
 }
@@ -222,7 +217,7 @@
     for (auto& changed : page.rows)
         apply(std::move(changed));
     retry_delays_.reset();
-    record_store_time(page.store_time);
+    store_clock_.record(page.store_time, sent_at_, timers_.now());
     version_ = std::max(version_, page.version);
     is_load_unconfirmed_ = false;
     confirmed_at_ = sent_at_;
--- a/packages/rows/table_replica.hpp
+++ b/packages/rows/table_replica.hpp
@@ -113,7 +113,6 @@
     void receive_changes(feed_page page);
 
     /// Adds the time in an answer to the estimate of the store's clock.
-    void record_store_time(core::duration store_time);
 
     /// Applies a row unless the replica has it in the same or a later version.
     void apply(row changed);
--- a/tests/rows/store_clock_test.cpp
+++ b/tests/rows/store_clock_test.cpp
@@ -13,13 +13,25 @@
 {
     core::time_point const start{100s};
     store_clock clock;
-    EXPECT_FALSE(clock.is_known());
+    EXPECT_EQ(clock.time(start), 0ms);
     clock.record(7000ms, start, start + 10ms);
     EXPECT_EQ(clock.time(start + 10ms), 7000ms);
     clock.record(8000ms, start + 1s, start + 4s);
     EXPECT_EQ(clock.time(start + 4s), 10'990ms);
 }
 
+// Guards against a time that is set back by an answer without one.
+TEST(store_clock, ignores_an_answer_without_a_time)
+{
+    core::time_point const start{100s};
+    store_clock clock;
+    clock.record(0ms, start, start + 10ms);
+    EXPECT_EQ(clock.time(start + 10ms), 0ms);
+    clock.record(7000ms, start, start + 10ms);
+    clock.record(0ms, start + 1s, start + 1s + 10ms);
+    EXPECT_EQ(clock.time(start + 10ms), 7000ms);
+}
+
 TEST(store_clock, is_corrected_by_an_answer_that_contradicts_it)
 {
     core::time_point const start{100s};
