agents: Take no equal start time as that of another executor

What callers would see: as with any heartbeat of another program, all runs of an executor run twice. Cause: a heartbeat with another id and the same start time as the current executor was confirmed by the list of that executor itself. Change: a heartbeat that names another executor needs a later start. In decider_service_test, a comment stands above its test again.

--- a/packages/agents/agent_service.cpp
+++ b/packages/agents/agent_service.cpp
@@ -138,6 +138,9 @@
 {
     if (!needs_confirmation(worker))
         return accept_heartbeat(std::move(worker), sequence);
+    // The lists could not tell an equal start from that of the present one.
+    if (worker.executor.born_ms <= worker_.executor.born_ms)
+        return;
     announced_ = announcement{std::move(worker), sequence, timers_.now()};
     refresh_snapshot();
     poll_executor();
--- a/tests/agents/agent_service_test.cpp
+++ b/tests/agents/agent_service_test.cpp
@@ -940,6 +940,21 @@
     EXPECT_EQ(report().worker.state, jobs::worker_state::draining);
 }
 
+// Guards against tasks that run twice: the list of the present executor
+// confirms a heartbeat of another program that names the same start time.
+TEST_F(agent_service_test, keeps_its_executor_when_another_one_has_its_start)
+{
+    begin();
+    auto const order = make_order(0);
+    put_order(order);
+    timers.advance(100ms);
+    announce_executor("i-9", executor.born_ms);
+    timers.advance(2s);
+    EXPECT_EQ(report().worker.executor.id, "i-1");
+    EXPECT_TRUE(report().ended.empty());
+    EXPECT_TRUE(executor.running.contains(order.run));
+}
+
 // Guards against a successor that is not used, and against runs of its
 // predecessor that are never started again.
 TEST_F(agent_service_test, uses_an_announced_executor_that_answers)
--- a/tests/scheduler/decider_service_test.cpp
+++ b/tests/scheduler/decider_service_test.cpp
@@ -198,8 +198,6 @@
     EXPECT_TRUE(order("j"));
 }
 
-// Guards against orders that are repeated or lost when the answer of the store
-// is lost.
 // Guards against runs that end as lapsed without a line that shows why.
 TEST_F(decider_service_test, logs_agents_whose_runs_have_lapsed)
 {
@@ -216,6 +214,8 @@
     EXPECT_EQ(count(), before + 1);
 }
 
+// Guards against orders that are repeated or lost when the answer of the store
+// is lost.
 TEST_F(decider_service_test, retries_a_commit_whose_answer_was_lost)
 {
     entry first(store, timers, "one");
