agents: Adopt an announced executor only once it answers

What callers would see: an executor that is not used until it restarts, or whose runs run twice. Cause: an announced executor was adopted without a confirmation when the lease of the current one had expired, when that counted as gone, and before the last report and the orders had been read. The real one has an earlier start and was then ignored. Each further heartbeat of the other program also put off the rejection, so that no poll extended the lease. Change: with the lease, the current executor counts as gone, and nothing is adopted. An executor that was only presumed gone is polled when another one is announced. What arrives before the orders waits for them. The time of an announcement is that of its first heartbeat.

--- a/packages/agents/agent_service.cpp
+++ b/packages/agents/agent_service.cpp
@@ -97,6 +97,7 @@
             restore_ends(*previous);
         }
         infer_executor_from_orders();
+        receive_early_heartbeat();
         lease_.assume_extended(timers_.now());
         core::log_event(
             "agent_ready",
@@ -112,6 +113,14 @@
     poll_executor();
 }
 
+/// Until the last report and the orders were known, the executor that a
+/// heartbeat names could not be compared with theirs.
+void agent_service::receive_early_heartbeat()
+{
+    if (auto early = std::exchange(announced_, std::nullopt))
+        receive_heartbeat(std::move(early->worker), early->sequence);
+}
+
 void agent_service::restore_ends(jobs::worker_report const& earlier)
 {
     for (auto const& ended : earlier.ended)
@@ -136,23 +145,29 @@
 void agent_service::receive_heartbeat(jobs::worker_description worker,
                                       std::int64_t sequence)
 {
-    if (!needs_confirmation(worker))
+    if (is_serving_ && !needs_confirmation(worker))
         return accept_heartbeat(std::move(worker), sequence);
-    // The lists could not tell an equal start from that of the present one.
+    // The lists could not tell an equal start from that of the current one.
     if (worker.executor.born_ms <= worker_.executor.born_ms)
         return;
-    announced_ = announcement{std::move(worker), sequence, timers_.now()};
+    bool const is_repeated =
+        announced_ && announced_->worker.executor == worker.executor;
+    auto const received_at =
+        is_repeated ? announced_->received_at : timers_.now();
+    announced_ = announcement{std::move(worker), sequence, received_at};
     refresh_snapshot();
     poll_executor();
 }
 
-/// The runs of the present executor would count as lost.
+/// An executor that the heartbeat does not name may be running, and its runs
+/// would count as lost.
 bool agent_service::needs_confirmation(
     jobs::worker_description const& announced) const
 {
-    return !worker_.executor.id.empty() &&
-           announced.executor.id != worker_.executor.id &&
-           worker_.state != jobs::worker_state::gone;
+    bool const has_left =
+        worker_.state == jobs::worker_state::gone && !is_presumed_gone_;
+    return !worker_.executor.id.empty() && !has_left &&
+           announced.executor.id != worker_.executor.id;
 }
 
 void agent_service::accept_heartbeat(jobs::worker_description worker,
@@ -331,7 +346,7 @@
 void agent_service::poll_executor()
 {
     bool const is_gone = worker_.state == jobs::worker_state::gone &&
-                         !is_gone_behind_broken_path();
+                         !is_gone_behind_broken_path() && !announced_;
     if (is_polling_ || !is_serving_ || worker_.executor.id.empty() || is_gone ||
         timers_.now() < next_poll_at_)
         return;
@@ -355,8 +370,8 @@
 }
 
 /// The lease and the number of the last acknowledged end hold for the current
-/// incarnation only. Polls do not name the incarnation, so that a successor
-/// would take them as its own.
+/// incarnation only, and another one may have been announced. Polls do not name
+/// the incarnation, so that a successor would take them as its own.
 void agent_service::send_poll(core::time_point now, core::duration wait,
                               std::function<void(executor_snapshot)> done)
 {
@@ -460,8 +475,6 @@
         return;
     if (has_deregistered_ && (is_connection_refused || lease_.has_run_out(now)))
         return mark_executor_gone("deregistered");
-    if (announced_ && lease_.has_run_out(now))
-        return accept_announcement();
     if (refuses_connections())
         avoid_executor();
     if (!have_all_runs_ended())
@@ -482,7 +495,8 @@
 /// A lost path alone does not show this, since the executor may run on.
 bool agent_service::have_all_runs_ended() const
 {
-    return lease_.has_expired(timers_.now()) ||
+    auto const now = timers_.now();
+    return lease_.has_expired(now) || (announced_ && lease_.has_run_out(now)) ||
            (refuses_connections() && lease_.is_unused());
 }
 
--- a/packages/agents/agent_service.hpp
+++ b/packages/agents/agent_service.hpp
@@ -47,8 +47,8 @@
 
     /// Updates the worker from a heartbeat of its executor. Heartbeats are
     /// ignored if they arrive out of order, or come from an incarnation that
-    /// has been replaced or is gone. One that names another executor counts
-    /// only once that one answers at the executor's address.
+    /// has been replaced or is gone. One that names another executor than the
+    /// current one counts only once that one answers at the executor's address.
     /// @param worker the executor's description of the worker
     /// @param sequence increases with each heartbeat of an incarnation
     void receive_heartbeat(jobs::worker_description worker,
@@ -67,7 +67,8 @@
                                 std::optional<std::int64_t> born_ms);
 
 private:
-    /// A heartbeat that names another executor than the current one.
+    /// A heartbeat that names another executor than the current one, or one
+    /// that arrived before the orders were loaded.
     struct announcement
     {
         jobs::worker_description worker;
@@ -92,7 +93,7 @@
                           core::time_point requested_at);
     /// Makes the announced executor the current one.
     void accept_announcement();
-    /// Drops an announcement, since the present executor still answers.
+    /// Drops an announcement, since the current executor still answers.
     void reject_announcement();
     void receive_poll_failure(bool is_connection_refused);
     bool refuses_connections() const;
@@ -104,6 +105,7 @@
     void throttle_fillers();
     void update_executor(jobs::worker_description worker);
     void infer_executor_from_orders();
+    void receive_early_heartbeat();
     void restore_ends(jobs::worker_report const& earlier);
 
     /// @return whether the worker is known well enough for a report on it
