agents: Wait for the lease of an executor that has deregistered

What callers would see: tasks run twice while an executor ends. Cause: after a deregistration, one refused connection counted as the end of the executor. If the acknowledgement is lost it runs on for seconds, and a broken path, or a process that closes its sockets first, refuses connections meanwhile. Class: a lost path is taken as an end; only a lease is one.

--- a/packages/agents/agent_service.cpp
+++ b/packages/agents/agent_service.cpp
@@ -473,7 +473,7 @@
     }
     if (worker_.state == jobs::worker_state::gone)
         return;
-    if (has_deregistered_ && (is_connection_refused || lease_.has_run_out(now)))
+    if (has_deregistered_ && lease_.has_run_out(now))
         return mark_executor_gone("deregistered");
     if (refuses_connections())
         avoid_executor();
--- a/packages/agents/agent_service.hpp
+++ b/packages/agents/agent_service.hpp
@@ -60,7 +60,7 @@
 
     /// Reports that an executor has announced its end. Ignored unless it is the
     /// current one. The executor may run on for seconds, so it counts as gone
-    /// only once it refuses connections or its lease has expired.
+    /// only once its lease has expired.
     /// @param executor_id the id of the executor
     /// @param born_ms its start time; nullopt if it gave none
     void receive_deregistration(std::string const& executor_id,
