--- a/tests/soak/machine_fault_injector.hpp
+++ b/tests/soak/machine_fault_injector.hpp
@@ -22,15 +22,16 @@
     void inject();
 
 private:
-    /// Gives a third of the processes little processor time for some seconds.
+    /// Gives a third of the entries and agents little processor time for some
+    /// seconds.
     void starve_processes();
     /// Lets a process run for a few milliseconds only, again and again.
     /// @param remaining for how long
     void starve(system_process& target, core::duration remaining);
     /// Ends the agent and the executor of some workers at one moment.
     void cut_power();
-    /// Cuts every other worker off from the store, and ends some of their
-    /// agents behind the cut.
+    /// Cuts every other worker off from the store and from the gangs of other
+    /// workers, and ends some of their agents behind the cut.
     void lose_data_centre();
 
     random_source& random_;
