agents: Say once when an executor has left

Cause: that the executor counts as gone for good, not only as presumed gone, was written out in needs_confirmation() and in accept_heartbeat(). Change: has_left() has the rule; both call it.

--- a/packages/agents/agent_service.cpp
+++ b/packages/agents/agent_service.cpp
@@ -159,12 +159,15 @@
 bool agent_service::needs_confirmation(
     jobs::worker_description const& announced) const
 {
-    bool const has_left =
-        worker_.state == jobs::worker_state::gone && !is_presumed_gone_;
-    return !worker_.executor.id.empty() && !has_left &&
+    return !worker_.executor.id.empty() && !has_left() &&
            announced.executor.id != worker_.executor.id;
 }
 
+bool agent_service::has_left() const
+{
+    return worker_.state == jobs::worker_state::gone && !is_presumed_gone_;
+}
+
 void agent_service::accept_heartbeat(jobs::worker_description worker,
                                      std::int64_t sequence)
 {
@@ -173,9 +176,7 @@
     if (worker.executor.born_ms < worker_.executor.born_ms ||
         (is_same && sequence <= sequence_ && sequence_ > 0))
         return;
-    bool const is_ending =
-        has_deregistered_ ||
-        (worker_.state == jobs::worker_state::gone && !is_presumed_gone_);
+    bool const is_ending = has_deregistered_ || has_left();
     if (is_same && (is_ending || is_gone_behind_broken_path()))
         return;
     sequence_ = sequence;
--- a/packages/agents/agent_service.hpp
+++ b/packages/agents/agent_service.hpp
@@ -79,6 +79,9 @@
     void accept_heartbeat(jobs::worker_description worker,
                           std::int64_t sequence);
     bool needs_confirmation(jobs::worker_description const& announced) const;
+    /// @return whether the executor is known to have ended, so that it cannot
+    ///         return as the same incarnation
+    bool has_left() const;
     void receive_order(rows::row const& changed);
     void on_orders_updated();
     void advance_runs();
