soak: Cut a worker off in one place

Cause: cut_off_worker() and lose_data_centre() each set the faults of the store and the flag of the executor, and cleared both again. Change: test_system::set_worker_cut_off() does so for both.

--- a/tests/soak/fault_injector.cpp
+++ b/tests/soak/fault_injector.cpp
@@ -155,18 +155,10 @@
 
 void fault_injector::cut_off_worker(std::size_t index)
 {
-    auto& agent = system_.agents()[index];
-    auto& model = *system_.executor_models()[index];
-    set_store_faults(&agent, [](store_faults& faults) {
-        faults.mode = store_faults::response::silent;
-    });
-    model.is_cut_off_from_gangs = true;
+    system_.set_worker_cut_off(index, true);
     schedule_.begin(
         "worker cut off",
-        [this, &agent, &model] {
-            set_store_faults(&agent, [](store_faults& faults) { faults = {}; });
-            model.is_cut_off_from_gangs = false;
-        },
+        [this, index] { system_.set_worker_cut_off(index, false); },
         random_.between(min_worker_cut, max_worker_cut));
 }
 
--- a/tests/soak/machine_fault_injector.cpp
+++ b/tests/soak/machine_fault_injector.cpp
@@ -78,13 +78,9 @@
 void machine_fault_injector::lose_data_centre()
 {
     auto const duration = random_.between(min_cut, max_cut);
-    store_faults faults;
-    faults.mode = store_faults::response::silent;
     for (std::size_t index = 0; index < system_.agents().size(); index += 2) {
         auto& agent = system_.agents()[index];
-        auto& model = *system_.executor_models()[index];
-        system_.set_store_faults(agent, faults);
-        model.is_cut_off_from_gangs = true;
+        system_.set_worker_cut_off(index, true);
         if (random_.happens(killed_share)) {
             system_.kill(agent);
             schedule_.restart_later(agent);
@@ -94,10 +90,8 @@
         "data centre cut off",
         [this] {
             for (std::size_t index = 0; index < system_.agents().size();
-                 index += 2) {
-                system_.set_store_faults(system_.agents()[index], {});
-                system_.executor_models()[index]->is_cut_off_from_gangs = false;
-            }
+                 index += 2)
+                system_.set_worker_cut_off(index, false);
         },
         duration);
 }
--- a/tests/soak/test_system.cpp
+++ b/tests/soak/test_system.cpp
@@ -246,6 +246,15 @@
     expect_broken_responses(target);
 }
 
+void test_system::set_worker_cut_off(std::size_t index, bool is_cut_off)
+{
+    store_faults faults;
+    if (is_cut_off)
+        faults.mode = store_faults::response::silent;
+    set_store_faults(agents_[index], faults);
+    executor_models_[index]->is_cut_off_from_gangs = is_cut_off;
+}
+
 void test_system::expect_broken_responses(system_process& target)
 {
     target.broken_responses_allowed_until = loop_.now() + broken_response_grace;
--- a/tests/soak/test_system.hpp
+++ b/tests/soak/test_system.hpp
@@ -95,6 +95,11 @@
     /// Sets the faults of the store towards a process.
     void set_store_faults(system_process& target, store_faults const& faults);
 
+    /// Cuts a worker off from the store and from the other members of its
+    /// gangs, or ends that. Its agent and its executor run on.
+    /// @param index its position in agents()
+    void set_worker_cut_off(std::size_t index, bool is_cut_off);
+
     /// Allows a process to break off responses for a while, because a fault has
     /// begun or ended.
     void expect_broken_responses(system_process& target);
