decider: Notice renewals and the expiry of the lease sooner

Cause: other entries read the lease row every 0.5 s. They notice the last renewal up to one period late, and the expiry up to another one, since the fourth read after it comes a moment before the 2 s have passed. So a takeover may take 3 s after the last renewal.

Ruled out: load.

Change: an entry that does not hold the lease reads the row every 0.1 s. The holder still renews it every 0.5 s.

--- a/packages/decider/decider_lease.cpp
+++ b/packages/decider/decider_lease.cpp
@@ -47,12 +47,20 @@
 {
     std::lock_guard const tick_lock(tick_mutex_);
     auto const started = clock_.now();
+    if (is_renewed(started))
+        return;
     auto const row = rows_.read(row_key);
     if (!core::is_ok(row))
         return;
     handle_row(core::value(row), started);
 }
 
+bool decider_lease::is_renewed(core::time_point now) const
+{
+    return state() != lease_state::follower &&
+           now - written_at_ < renewal_period;
+}
+
 void decider_lease::handle_row(platform::row const& row, core::time_point now)
 {
     auto const parsed = parse(row);
@@ -99,6 +107,7 @@
 void decider_lease::write(platform::row const& row, lease_record const& next,
                           core::time_point started)
 {
+    written_at_ = started;
     auto const outcome = write_if_unchanged(rows_, row, next);
     if (core::code_of(outcome) == result_code::conflict) {
         step_down();
--- a/packages/decider/decider_lease.hpp
+++ b/packages/decider/decider_lease.hpp
@@ -45,6 +45,10 @@
     static constexpr core::duration lifetime = std::chrono::seconds(2);
     static constexpr core::duration renewal_period =
         std::chrono::milliseconds(500);
+    /// How often the row is read by an entry that does not hold the lease. A
+    /// renewal and the expiry are each noticed up to this much late.
+    static constexpr core::duration check_period =
+        std::chrono::milliseconds(100);
     static constexpr char row_key[] = "decider";
 
     /// @param rows writes the rows of the table; must outlive this object
@@ -54,8 +58,9 @@
                   peers::entry_record self);
 
     /// Reads the row, then renews the lease if this entry holds it, or takes
-    /// it over if it has expired. To be called once per renewal period; blocks
-    /// on the table.
+    /// it over if it has expired. Does nothing if this entry has renewed the
+    /// lease within the renewal period. To be called once per check period;
+    /// blocks on the table.
     void tick();
 
     /// Releases the lease, so that another entry can take it without waiting
@@ -94,6 +99,8 @@
     bool is_takeover_due(platform::row const& row, lease_record const& record,
                          core::time_point now);
     bool is_held_by_self(lease_record const& record) const;
+    /// @return whether this entry holds the lease and need not renew it yet
+    bool is_renewed(core::time_point now) const;
     /// Becomes a follower.
     void step_down();
     /// Becomes or stays the holder; a new holder is suspended until a write
@@ -103,7 +110,9 @@
     platform::recovering_writer& rows_;
     core::clock const& clock_;
     peers::entry_record const self_;
-    std::mutex tick_mutex_;    ///< serialises tick() and release()
+    std::mutex tick_mutex_; ///< serialises tick() and release()
+    /// When the last renewal or takeover began; guarded by tick_mutex_.
+    core::time_point written_at_;
     mutable std::mutex mutex_; ///< guards the members below
     bool is_held_ = false;
     std::uint64_t version_ = 0;     ///< row version of the held lease
--- a/packages/decider/job_engine.cpp
+++ b/packages/decider/job_engine.cpp
@@ -80,7 +80,7 @@
 {
     // These functions block on the table or the decider, so the timer callbacks
     // only post them to other threads.
-    lease_timer_ = timers.subscribe(decider_lease::renewal_period, [this] {
+    lease_timer_ = timers.subscribe(decider_lease::check_period, [this] {
         post_once(lease_thread_, is_renewal_posted_, &job_engine::renew_lease);
     });
     notification_timer_ =
--- a/tests/decider/decider_lease_test.cpp
+++ b/tests/decider/decider_lease_test.cpp
@@ -45,6 +45,38 @@
     EXPECT_EQ(b.term(), 2U);
 }
 
+// Guards against a failed decider that is replaced later than 2.5 s after its
+// last renewal because that and the expiry are noticed late.
+TEST_F(decider_lease_test, is_taken_over_in_time_wherever_reads_fall)
+{
+    a.tick();
+    auto const renewed_at = clock.now();
+    // Each read comes as late as possible after what it has to notice.
+    auto const step = decider_lease::check_period - 1ms;
+    while (b.state() == lease_state::follower &&
+           clock.now() < renewed_at + 5s) {
+        clock.advance(step);
+        b.tick();
+    }
+    EXPECT_EQ(b.state(), lease_state::holding);
+    EXPECT_LE(clock.now() - renewed_at, 2500ms);
+}
+
+// Guards against a holder that writes the row with each check.
+TEST_F(decider_lease_test, renews_once_per_renewal_period)
+{
+    a.tick();
+    auto const acquired = core::value(rows_a.read(decider_lease::row_key));
+    clock.advance(decider_lease::check_period);
+    a.tick();
+    auto const checked = core::value(rows_a.read(decider_lease::row_key));
+    EXPECT_EQ(checked.version, acquired.version);
+    clock.advance(decider_lease::renewal_period);
+    a.tick();
+    auto const renewed = core::value(rows_a.read(decider_lease::row_key));
+    EXPECT_GT(renewed.version, acquired.version);
+}
+
 // Guards against a takeover while the holder renews its lease.
 TEST_F(decider_lease_test, stays_with_a_holder_that_renews)
 {
