agents: Use an executor whose start time has gone back

Callers would see an executor that is never used again, and tasks there that never start again: its machine's time of day is set back, and it restarts under its id with an earlier start time.

Cause: start times decide which of two incarnations is the later one. The agent ignores heartbeats with an earlier start as late ones of a predecessor. Its polls show another start time than the one it knows, so it extends no lease and starts nothing, but its runs never end, since only failed polls lead there.

Change: a heartbeat with an earlier start is kept until the lists at the executor's address show that start, as those of other ids are, and is dropped if the current executor still answers. The run tracker remembers incarnations that have ended with a later start than the current one, and ends their runs as lost in the report, so that the decider does not have to compare start times.

Ruled out: an order by arrival, since a late heartbeat of a predecessor is the usual case; a comparison for equality in the decider, which may read an older report than the orders of the decider before it.

Tests, which fail without the change: agent_service_test.uses_an_executor_whose_ start_time_has_gone_back and uses_an_executor_whose_start_time_is_before_its_ orders (the report names the earlier executor, and no end). Held before as well: keeps_its_executor_when_an_earlier_one_is_announced.

--- a/packages/agents/agent_service.cpp
+++ b/packages/agents/agent_service.cpp
@@ -143,7 +143,7 @@
     if (is_serving_ && !needs_confirmation(worker))
         return accept_heartbeat(std::move(worker), sequence);
     // The lists could not tell an equal start from that of the current one.
-    if (worker.executor.born_ms <= worker_.executor.born_ms)
+    if (worker.executor.born_ms == worker_.executor.born_ms)
         return;
     bool const is_repeated =
         announced_ && announced_->worker.executor == worker.executor;
@@ -155,12 +155,17 @@
 }
 
 /// An executor that the heartbeat does not name may be running, and its runs
-/// would count as lost.
+/// would count as lost. A heartbeat with an earlier start time is a late one of
+/// a predecessor, or the time of day has been set back before a restart.
 bool agent_service::needs_confirmation(
     jobs::worker_description const& announced) const
 {
-    return !worker_.executor.id.empty() && !has_left() &&
-           announced.executor.id != worker_.executor.id;
+    auto const& current = worker_.executor;
+    if (current.id.empty())
+        return false;
+    bool const is_from_other_id =
+        !has_left() && announced.executor.id != current.id;
+    return is_from_other_id || announced.executor.born_ms < current.born_ms;
 }
 
 bool agent_service::has_left() const
@@ -172,9 +177,8 @@
                                      std::int64_t sequence)
 {
     bool const is_same = worker.executor == worker_.executor;
-    // A delayed heartbeat of an earlier incarnation, or one out of order.
-    if (worker.executor.born_ms < worker_.executor.born_ms ||
-        (is_same && sequence <= sequence_ && sequence_ > 0))
+    bool const is_out_of_order = sequence <= sequence_ && sequence_ > 0;
+    if (is_same && is_out_of_order)
         return;
     bool const is_ending = has_deregistered_ || has_left();
     if (is_same && (is_ending || is_gone_behind_broken_path()))
--- a/packages/agents/agent_service.hpp
+++ b/packages/agents/agent_service.hpp
@@ -46,9 +46,10 @@
     void start();
 
     /// Updates the worker from a heartbeat of its executor. Heartbeats are
-    /// ignored if they arrive out of order, or come from an incarnation that
-    /// has been replaced or is gone. One that names another executor than the
-    /// current one counts only once that one answers at the executor's address.
+    /// ignored if they arrive out of order, or come from an incarnation that is
+    /// gone. One that names another executor than the current one, or an
+    /// earlier start, counts only once that incarnation answers at the
+    /// executor's address.
     /// @param worker the executor's description of the worker
     /// @param sequence increases with each heartbeat of an incarnation
     void receive_heartbeat(jobs::worker_description worker,
@@ -67,8 +68,8 @@
                                 std::optional<std::int64_t> born_ms);
 
 private:
-    /// A heartbeat that names another executor than the current one, or one
-    /// that arrived before the orders were loaded.
+    /// A heartbeat that names another executor than the current one or an
+    /// earlier start, or one that arrived before the orders were loaded.
     struct announcement
     {
         jobs::worker_description worker;
--- a/packages/agents/run_tracker.cpp
+++ b/packages/agents/run_tracker.cpp
@@ -59,6 +59,7 @@
 void run_tracker::set_executor(jobs::worker_description const& worker)
 {
     if (worker.executor != worker_.executor) {
+        record_ended_incarnation(worker.executor);
         ends_without_order_.clear();
         runs_without_order_.clear();
         for (auto& [run, tracked] : runs_) {
@@ -69,6 +70,15 @@
     worker_ = worker;
 }
 
+/// Only those are kept that the start times do not show to have ended.
+void run_tracker::record_ended_incarnation(jobs::incarnation const& successor)
+{
+    ended_incarnations_.insert(worker_.executor);
+    std::erase_if(ended_incarnations_, [&](auto const& ended) {
+        return ended == successor || successor.replaces(ended);
+    });
+}
+
 void run_tracker::end(tracked_run& tracked, jobs::run_end end_kind,
                       std::string checkpoint)
 {
@@ -190,7 +200,9 @@
 
 bool run_tracker::is_replaced(tracked_run const& tracked) const
 {
-    return worker_.executor.replaces(tracked.order.executor);
+    auto const& ordered = tracked.order.executor;
+    return worker_.executor.replaces(ordered) ||
+           ended_incarnations_.contains(ordered);
 }
 
 jobs::run_end run_tracker::end_after_stop(tracked_run const& tracked) const
--- a/packages/agents/run_tracker.hpp
+++ b/packages/agents/run_tracker.hpp
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -156,6 +157,8 @@
         bool is_end_listed = false; ///< the executor has listed the end
     };
 
+    /// Records that the current incarnation has ended.
+    void record_ended_incarnation(jobs::incarnation const& successor);
     void end(tracked_run& tracked, jobs::run_end end_kind,
              std::string checkpoint);
     /// @return whether the order is of an earlier session, and its run is not
@@ -163,7 +166,7 @@
     bool is_outdated(tracked_run const& tracked) const;
     bool needs_stop(tracked_run const& tracked) const;
     /// @return whether the run was ordered for an incarnation that the current
-    ///         one has replaced
+    ///         one has replaced, also if its start time is later
     bool is_replaced(tracked_run const& tracked) const;
     /// Ends a run of an earlier incarnation, or determines the call that has to
     /// precede its end.
@@ -176,6 +179,8 @@
     std::map<jobs::run_id, tracked_run> runs_;
     std::string session_;
     jobs::worker_description worker_;
+    /// Earlier incarnations whose start times are later than the current one.
+    std::set<jobs::incarnation> ended_incarnations_;
     std::vector<jobs::run_id> runs_without_order_;
     /// The ends in the last snapshot of runs that have no order. The decider
     /// may have taken such a run as lost before its end became known.
--- a/tests/agents/agent_service_test.cpp
+++ b/tests/agents/agent_service_test.cpp
@@ -131,10 +131,13 @@
                       agent_service::options{"a", {6s, 1s}});
     }
 
-    void begin()
+    void begin() { begin_with_start_time(1); }
+
+    /// Starts the agent beside an executor that started at a given time.
+    void begin_with_start_time(std::int64_t born_ms)
     {
         agent->start();
-        heartbeat(jobs::worker_state::ready);
+        heartbeat(jobs::worker_state::ready, born_ms);
         timers.advance(200ms);
     }
 
@@ -1056,6 +1059,69 @@
     EXPECT_EQ(report().worker.state, jobs::worker_state::ready);
 }
 
+// Guards against an executor that is never used again, and runs that never
+// start again, because the time of day was set back before the executor
+// restarted.
+TEST_F(agent_service_test, uses_an_executor_whose_start_time_has_gone_back)
+{
+    executor.born_ms = 100;
+    begin_with_start_time(100);
+    auto order = make_order(0);
+    order.executor.born_ms = 100;
+    put_order(order);
+    timers.advance(100ms);
+    ASSERT_TRUE(executor.running.contains(order.run));
+    executor.running.clear();
+    executor.born_ms = 50;
+    heartbeat(jobs::worker_state::ready, 50);
+    timers.advance(1s);
+    EXPECT_EQ(report().worker.executor.born_ms, 50);
+    EXPECT_EQ(report().worker.state, jobs::worker_state::ready);
+    ASSERT_EQ(report().ended.size(), 1U);
+    EXPECT_EQ(report().ended[0].end, jobs::run_end::lost);
+}
+
+// Guards against the same when the agent restarts as well, and knows the
+// earlier start time from its orders.
+TEST_F(agent_service_test,
+       uses_an_executor_whose_start_time_is_before_its_orders)
+{
+    executor.born_ms = 100;
+    begin_with_start_time(100);
+    auto order = make_order(0);
+    order.executor.born_ms = 100;
+    put_order(order);
+    timers.advance(100ms);
+    replace_agent();
+    executor.running.clear();
+    executor.born_ms = 50;
+    agent->start();
+    heartbeat(jobs::worker_state::ready, 50);
+    timers.advance(2s);
+    EXPECT_EQ(report().worker.executor.born_ms, 50);
+    ASSERT_EQ(report().ended.size(), 1U);
+    EXPECT_EQ(report().ended[0].end, jobs::run_end::lost);
+}
+
+// Guards against tasks that run twice: a heartbeat of the previous incarnation
+// arrives late, and the runs of the current one count as lost.
+TEST_F(agent_service_test, keeps_its_executor_when_an_earlier_one_is_announced)
+{
+    executor.born_ms = 100;
+    begin_with_start_time(100);
+    auto order = make_order(0);
+    order.executor.born_ms = 100;
+    put_order(order);
+    timers.advance(100ms);
+    heartbeat(jobs::worker_state::draining, 50);
+    timers.advance(2s);
+    EXPECT_EQ(report().worker.executor.born_ms, 100);
+    EXPECT_EQ(report().worker.state, jobs::worker_state::ready);
+    EXPECT_TRUE(report().ended.empty());
+    EXPECT_TRUE(executor.running.contains(order.run));
+    EXPECT_GT(executor.lease_end_ms, executor.clock_ms() + 4000);
+}
+
 // Guards against leases that expire because heartbeats of another program
 // arrive faster than the executor answers.
 TEST_F(agent_service_test, extends_its_lease_in_spite_of_many_announcements)
