agents: Wait for the longest lease of a restarted executor

Callers would see a task that runs twice, on executors that grant leases of more than 6 s.

Cause: an executor restarts under its id, and its clock begins anew. A start that was sent to its predecessor reaches it late; the end of the lease in it lies far ahead by the new clock, so the executor grants its longest lease. The agent assumed the 6 s that it asks for, reported the executor as gone after 6.6 s of refused connections, and the run might go on for four more seconds.

Change: the lease keeps the time by which all runs have certainly stopped. For a successor under the same id that follows from the longest lease that executors grant. Where they grant no more than 6 s, nothing changes.

Ruled out: `Fence` numbers that rise with each incarnation. They would have to rise over restarts of the agent and where start times go back, or the executor would refuse all its calls. A longer lost_after() for the decider: a start that has landed before the agent's last report ends 10.6 s after it at the latest, which lost_after() of 10.7 s covers.

--- a/packages/agents/agent_service.cpp
+++ b/packages/agents/agent_service.cpp
@@ -236,7 +236,7 @@
         lease_.reset();
         // It may carry out starts that were sent to its predecessor.
         if (worker.executor.id == worker_.executor.id)
-            lease_.assume_extended(timers_.now());
+            lease_.assume_longest_lease(timers_.now());
         has_deregistered_ = false;
         incarnation_confirmed_at_ = {};
         refused_since_.reset();
--- a/packages/agents/executor_lease.cpp
+++ b/packages/agents/executor_lease.cpp
@@ -1,14 +1,27 @@
 #include "agents/executor_lease.hpp"
 
+#include <algorithm>
+
 namespace sequoiaroute::agents {
 
 void executor_lease::reset()
 {
     clock_read_at_.reset();
-    extended_at_.reset();
+    stopped_by_.reset();
     is_suspended_ = false;
 }
 
+void executor_lease::assume_extended(core::time_point now)
+{
+    auto const stopped_by = now + timing_.max_time_to_stop();
+    stopped_by_ = std::max(stopped_by_.value_or(stopped_by), stopped_by);
+}
+
+void executor_lease::assume_longest_lease(core::time_point now)
+{
+    stopped_by_ = now + timing_.max_time_to_stop_after_restart();
+}
+
 void executor_lease::record_clock(std::int64_t clock_ms,
                                   core::time_point received_at)
 {
@@ -31,7 +44,7 @@
 {
     if (!clock_read_at_ || !may_extend(now))
         return std::nullopt;
-    extended_at_ = now;
+    assume_extended(now);
     // The least time that has passed on the executor's clock, so that the lease
     // is not longer than intended if that clock is slow.
     auto const passed =
@@ -41,7 +54,7 @@
 
 bool executor_lease::has_run_out(core::time_point now) const
 {
-    return extended_at_ && now - *extended_at_ > timing_.max_time_to_stop();
+    return stopped_by_ && now > *stopped_by_;
 }
 
 bool executor_lease::has_expired(core::time_point now) const
--- a/packages/agents/executor_lease.hpp
+++ b/packages/agents/executor_lease.hpp
@@ -25,10 +25,14 @@
     /// @param received_at when the reply arrived
     void record_clock(std::int64_t clock_ms, core::time_point received_at);
 
-    /// Assumes that a call has extended the lease of which this object does not
-    /// know: that of an earlier process, or one sent to an earlier incarnation.
+    /// Assumes that an earlier process has extended the lease.
     /// @param now no such call has taken effect later
-    void assume_extended(core::time_point now) { extended_at_ = now; }
+    void assume_extended(core::time_point now);
+
+    /// Assumes that calls to an earlier incarnation have reached the current
+    /// one, which has granted its longest lease.
+    /// @param now no such call has taken effect later
+    void assume_longest_lease(core::time_point now);
 
     /// @param sent_at when a report that has been stored was sent
     void record_store_contact(core::time_point sent_at);
@@ -55,10 +59,10 @@
     std::optional<std::int64_t> extend(core::time_point now);
 
     /// @return whether no lease was granted, so that nothing can be running
-    bool is_unused() const { return !extended_at_; }
+    bool is_unused() const { return !stopped_by_; }
 
     /// Records that the lease has expired and all runs have ended.
-    void end() { extended_at_.reset(); }
+    void end() { stopped_by_.reset(); }
 
     /// @return whether the lease has been extended, and has certainly run out
     ///         since, together with all runs
@@ -72,7 +76,9 @@
     jobs::lease_timing timing_;
     std::int64_t clock_ms_ = 0; ///< the executor's clock at clock_read_at_
     std::optional<core::time_point> clock_read_at_;
-    std::optional<core::time_point> extended_at_;
+    /// By when the executor has certainly stopped all runs, unless the lease is
+    /// extended again.
+    std::optional<core::time_point> stopped_by_;
     std::optional<core::time_point> store_contact_at_;
     bool is_suspended_ = false;
 };
--- a/packages/jobs/lease_timing.cpp
+++ b/packages/jobs/lease_timing.cpp
@@ -18,6 +18,14 @@
 /// The longest time from sending a report until the decider's replica has it.
 constexpr core::duration max_report_delay{1200};
 
+/// @param passed time by the clock of an executor
+/// @return the longest true time that passes meanwhile
+core::duration longest_true_time(core::duration passed)
+{
+    return core::duration(static_cast<core::duration::rep>(
+        static_cast<double>(passed.count()) * max_clock_slowdown));
+}
+
 } // namespace
 
 core::duration lease_timing::lease() const
@@ -32,9 +40,12 @@
 
 core::duration lease_timing::max_time_to_stop() const
 {
-    return core::duration(static_cast<core::duration::rep>(
-               static_cast<double>(lease().count()) * max_clock_slowdown)) +
-           max_stop_time;
+    return longest_true_time(lease()) + max_stop_time;
+}
+
+core::duration lease_timing::max_time_to_stop_after_restart() const
+{
+    return longest_true_time(max_lease) + max_stop_time;
 }
 
 core::duration lease_timing::least_executor_time(core::duration passed)
--- a/packages/jobs/lease_timing.hpp
+++ b/packages/jobs/lease_timing.hpp
@@ -27,6 +27,11 @@
     ///         slow
     core::duration max_time_to_stop() const;
 
+    /// @return the same for an executor that may have granted its longest
+    ///         lease: a restarted one does if it takes the end of a lease by
+    ///         the clock of an earlier incarnation as one by its own
+    core::duration max_time_to_stop_after_restart() const;
+
     /// @param passed true time
     /// @return the least time that passes meanwhile on an executor's clock
     static core::duration least_executor_time(core::duration passed);
--- a/tests/agents/agent_service_test.cpp
+++ b/tests/agents/agent_service_test.cpp
@@ -725,6 +725,25 @@
               (jobs::lease_timing{6s, 1s}.max_time_to_stop()));
 }
 
+// Guards against a task that runs twice: the end of a lease by the clock of an
+// earlier incarnation reaches a restarted executor, which grants its longest
+// lease then.
+TEST_F(agent_service_test, waits_for_the_longest_lease_of_a_restarted_executor)
+{
+    constexpr core::duration longest_lease = 10s;
+    agent.emplace(store, timers, executor, notices,
+                  agent_service::options{"a", {longest_lease, 400ms}});
+    begin();
+    executor.is_refusing = true;
+    auto const restarted_at = timers.now();
+    heartbeat(jobs::worker_state::ready, 2);
+    while (report().worker.state != jobs::worker_state::gone &&
+           timers.now() < restarted_at + 20s)
+        timers.advance(10ms);
+    EXPECT_EQ(report().worker.state, jobs::worker_state::gone);
+    EXPECT_GT(timers.now() - restarted_at, longest_lease * 102 / 100 + 400ms);
+}
+
 // Guards against a new session and reports with each heartbeat of an executor
 // whose connections fail, and against never using it again.
 TEST_F(agent_service_test, reports_at_its_usual_pace_while_connections_fail)
