rows: Read known parts that a stale list of them lacks

Callers would see an accepted job that an entry does not know, or that a decider never places, and a run that its agent never starts.

Cause: a replica lists the parts of its table before it reads them. The list has no version, so nothing shows that it is seconds old. Parts that a replica already has are read in any case, but at the start of a process there are none, and the feed does not deliver what is older than the read.

Reports are left to the list, since agents rewrite them, and a worker that is missing for a moment only gets no work.

Ruled out: a second list after the read, which may be as stale; no list at all, which would give up parts that another version of the program uses.

Tests, which failed with the parts named but not read: table_replica_test.reads_a_ known_part_that_the_first_list_lacks and agent_service_test.carries_out_an_order_ that_a_stale_list_of_parts_lacks. No run of real processes has shown this.

--- a/packages/gateway/entry_registry.cpp
+++ b/packages/gateway/entry_registry.cpp
@@ -24,7 +24,8 @@
                {std::string(entries_table),
                 entries_feed_wait,
                 core::duration(0),
-                {}},
+                {},
+                {std::string(entries_part)}},
                [](rows::row const&) {
                    // other_addresses() reads the replica itself.
                })
--- a/packages/programs/schedule_entry.cpp
+++ b/packages/programs/schedule_entry.cpp
@@ -92,7 +92,8 @@
                       {std::string(rows::layout::work_table),
                        work_feed_poll_timeout,
                        core::duration(0),
-                       {}},
+                       {},
+                       rows::layout::work_parts()},
                       [this](rows::row const& changed) {
                           job_directory_.observe(changed);
                           decider_service_.observe(changed);
--- a/packages/rows/row_layout.cpp
+++ b/packages/rows/row_layout.cpp
@@ -20,16 +20,29 @@
             fmt::format("{}{}", prefix, id)};
 }
 
+/// @return the name of a part with rows that entries write
+std::string job_part(std::size_t number)
+{
+    return fmt::format("jobs-{:02}", number);
+}
+
 /// @return the key of a row that entries write
 row_key entry_row(std::string_view prefix, std::string_view id)
 {
-    return {std::string(work_table),
-            fmt::format("jobs-{:02}", hash_bucket(id, job_part_count)),
+    return {std::string(work_table), job_part(hash_bucket(id, job_part_count)),
             fmt::format("{}{}", prefix, id)};
 }
 
 } // namespace
 
+std::vector<std::string> work_parts()
+{
+    std::vector<std::string> parts{std::string(work_part)};
+    for (std::size_t number = 0; number < job_part_count; ++number)
+        parts.push_back(job_part(number));
+    return parts;
+}
+
 range single_row_range(row_key const& key)
 {
     return {key.table, key.part, key.key, key.key + '\0', 1};
--- a/packages/rows/row_layout.hpp
+++ b/packages/rows/row_layout.hpp
@@ -4,6 +4,7 @@
 
 #include <string>
 #include <string_view>
+#include <vector>
 
 /// The tables, parts and keys under which rows are stored.
 ///
@@ -26,6 +27,9 @@
 inline constexpr std::string_view cancel_prefix = "cancel/";
 inline constexpr std::string_view progress_prefix = "progress/";
 
+/// @return all parts of the work table
+std::vector<std::string> work_parts();
+
 /// @return the range that contains only the row with this key
 range single_row_range(row_key const& key);
 
--- a/packages/rows/table_replica.cpp
+++ b/packages/rows/table_replica.cpp
@@ -119,6 +119,7 @@
 void table_replica::load_parts(std::vector<std::string> const& listed)
 {
     std::set<std::string> parts(listed.begin(), listed.end());
+    parts.insert(options_.parts.begin(), options_.parts.end());
     // A stale list lacks parts that the replica already knows.
     for (auto const& [key, item] : rows_)
         parts.insert(key.part);
--- a/packages/rows/table_replica.hpp
+++ b/packages/rows/table_replica.hpp
@@ -10,6 +10,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace sequoiaroute::rows {
 
@@ -35,6 +36,9 @@
         core::duration poll_delay{0};
         /// Rows whose keys do not start with this prefix are ignored.
         std::string key_prefix;
+        /// Parts that are read even if the store does not list them. Its list
+        /// may be seconds old, and nothing in it shows that.
+        std::vector<std::string> parts;
     };
 
     using observer = std::function<void(row const&)>;
@@ -112,8 +116,6 @@
     void poll_feed(core::duration wait);
     void receive_changes(feed_page page);
 
-    /// Adds the time in an answer to the estimate of the store's clock.
-
     /// Applies a row unless the replica has it in the same or a later version.
     void apply(row changed);
 
--- a/packages/scheduler/decider_service.cpp
+++ b/packages/scheduler/decider_service.cpp
@@ -121,6 +121,9 @@
         rows::table_replica::options{std::string(rows::layout::reports_table),
                                      core::duration(1000),
                                      report_batch_delay,
+                                     {},
+                                     // Agents rewrite their reports, so that
+                                     // the feed delivers what a list lacks.
                                      {}},
         [this](rows::row const& changed) { observe_report(changed, false); },
         [this] { schedule_round(); });
--- a/tests/agents/agent_service_test.cpp
+++ b/tests/agents/agent_service_test.cpp
@@ -310,6 +310,20 @@
     EXPECT_EQ(report().ended[0].end, jobs::run_end::done);
 }
 
+// Guards against an order that is never carried out: the store's list of parts
+// that the agent reads at its start is older than the first order.
+TEST_F(agent_service_test,
+       carries_out_an_order_that_a_stale_list_of_parts_lacks)
+{
+    store.keep_state_for_stale_reads();
+    auto const order = make_order(0);
+    put_order(order);
+    store.are_part_lists_stale = true;
+    begin();
+    timers.advance(1s);
+    EXPECT_TRUE(executor.running.contains(order.run));
+}
+
 // Guards against a delayed heartbeat that makes a draining executor ready
 // again.
 TEST_F(agent_service_test, ignores_heartbeats_out_of_order)
--- a/tests/gateway/customer_service_test.cpp
+++ b/tests/gateway/customer_service_test.cpp
@@ -62,7 +62,7 @@
         : store(timers), monitored(store, timers),
           work(
               store, timers,
-              {std::string(rows::layout::work_table), 500ms, 0ms, {}},
+              {std::string(rows::layout::work_table), 500ms, 0ms, {}, {}},
               [this](rows::row const& changed) { directory.observe(changed); }),
           service(monitored, timers, rules, work, directory, relay, writes)
     {
--- a/tests/rows/table_replica_test.cpp
+++ b/tests/rows/table_replica_test.cpp
@@ -14,7 +14,7 @@
 public:
     table_replica_test()
         : store(timers),
-          replica(store, timers, {"jobs", 500ms, 0ms, {}},
+          replica(store, timers, {"jobs", 500ms, 0ms, {}, {"known"}},
                   [this](row const& changed) {
                       observed.push_back((changed.is_removed ? "-" : "+") +
                                          changed.key.key);
@@ -143,6 +143,19 @@
     EXPECT_EQ(observed, (std::vector<std::string>{"+c"}));
 }
 
+// Guards against an accepted job that stays unknown to an entry: the first list
+// of parts that it reads is stale.
+TEST_F(table_replica_test, reads_a_known_part_that_the_first_list_lacks)
+{
+    store.put(key("a"), "1");
+    store.keep_state_for_stale_reads();
+    store.put({"jobs", "known", "b"}, "1");
+    store.are_part_lists_stale = true;
+    replica.start();
+    timers.advance(2s);
+    EXPECT_EQ(observed, (std::vector<std::string>{"+b", "+a"}));
+}
+
 // Guards against reads in a busy loop, which use up the store's rate limits,
 // while the reads are older than the history that the feed has.
 TEST_F(table_replica_test, pauses_between_reads_that_the_feed_cannot_continue)
--- a/tests/scheduler/decider_service_test.cpp
+++ b/tests/scheduler/decider_service_test.cpp
@@ -47,7 +47,7 @@
     entry(memory_row_store& store, support::manual_timers& timers,
           std::string name)
         : work_(store, timers,
-                {std::string(rows::layout::work_table), 500ms, 0ms, {}},
+                {std::string(rows::layout::work_table), 500ms, 0ms, {}, {}},
                 [this](rows::row const& changed) { decider.observe(changed); }),
           decider(store, timers, work_,
                   [] { return std::make_shared<jobs::rules const>(); },
