soak: Replace executors by others, and set their clocks back

The soak restarted executors under their own id only, and with start times that rise. Platforms replace an executor by one with another id on the same machine, and set the time of day back between two starts.

Change: restarts, at once and behind a cut, use the same id, another one, or an earlier start time in turn.

--- a/tests/soak/executor_fault_injector.cpp
+++ b/tests/soak/executor_fault_injector.cpp
@@ -78,8 +78,9 @@
         min_fault_duration,
         random_.happens(0.5) ? max_confirmed_cut : max_fault_duration);
     server.faults.to_agent = executor_faults::path::silent;
+    auto const next = pick_succession();
     schedule_.call_later(random_.between(core::duration(0), duration),
-                         [&server] { server.restart_unnoticed(); });
+                         [&server, next] { server.restart_unnoticed(next); });
     schedule_.begin(
         "executor restarts behind a cut",
         [&server] { server.faults.to_agent = executor_faults::path::normal; },
@@ -93,7 +94,22 @@
         return hit.server.reset_connections();
     }
     schedule_.count("executor restarts at once");
-    hit.server.crash(random_.between(core::duration(0), max_quick_restart));
+    auto const next = pick_succession();
+    hit.server.crash(random_.between(core::duration(0), max_quick_restart),
+                     next);
+}
+
+executor_model::succession executor_fault_injector::pick_succession()
+{
+    using succession = executor_model::succession;
+    constexpr std::array<std::pair<succession, char const*>, 3> kinds{{
+        {succession::same_id, "executor restarts under its id"},
+        {succession::new_id, "executor replaced by one with another id"},
+        {succession::earlier_start, "executor restarts with an earlier start"},
+    }};
+    auto const& [next, name] = kinds.at(random_.below(kinds.size()));
+    schedule_.count(name);
+    return next;
 }
 
 void executor_fault_injector::refuse_orders(target const& hit)
--- a/tests/soak/executor_fault_injector.hpp
+++ b/tests/soak/executor_fault_injector.hpp
@@ -35,6 +35,8 @@
     /// Restarts an executor under its id while its agent cannot reach it.
     void restart_behind_cut(target const& hit);
     void restart_at_once(target const& hit);
+    /// Decides how a restarted executor is identified.
+    executor_model::succession pick_succession();
     void refuse_orders(target const& hit);
     void execute_late(target const& hit);
     void delay_heartbeats(target const& hit);
--- a/tests/soak/executor_model.cpp
+++ b/tests/soak/executor_model.cpp
@@ -11,6 +11,8 @@
 
 /// How long a member of a gang waits for the others to start.
 constexpr core::duration gang_start_timeout{3000};
+/// How far the time of day is set back before a start.
+constexpr core::duration clock_set_back{2000};
 /// Speed of the executor's clock relative to the real time.
 constexpr double clock_speed = 0.98;
 
@@ -44,14 +46,15 @@
                                core::duration max_lease,
                                core::clock const& clock,
                                invariant_checker& checker, gang_registry& gangs)
-    : name_(std::move(name)), agent_(std::move(agent)), capacity_(capacity),
-      max_lease_(max_lease), clock_(clock), checker_(checker), gangs_(gangs)
+    : name_(std::move(name)), id_(name_), agent_(std::move(agent)),
+      capacity_(capacity), max_lease_(max_lease), clock_(clock),
+      checker_(checker), gangs_(gangs)
 {
 }
 
 std::string executor_model::incarnation() const
 {
-    return fmt::format("{}@{}", name_, born_ms_);
+    return fmt::format("{}@{}", id_, born_ms_);
 }
 
 std::int64_t executor_model::clock_ms() const
@@ -61,13 +64,23 @@
                                      clock_speed);
 }
 
-void executor_model::begin_incarnation()
+void executor_model::begin_incarnation(succession next)
 {
     is_up_ = true;
     born_at_ = clock_.now();
     advanced_at_ = born_at_;
-    // Incarnations are identified by their start times, which must differ.
-    born_ms_ = std::max(born_ms_ + 1, born_at_.time_since_epoch().count());
+    if (next == succession::new_id)
+        id_ = fmt::format("{}-{}", name_, ++successor_count_);
+    if (next == succession::earlier_start) {
+        first_born_ms_ -= clock_set_back.count();
+        born_ms_ = first_born_ms_;
+    } else {
+        auto const now_ms = born_at_.time_since_epoch().count();
+        last_born_ms_ = std::max(last_born_ms_ + 1, now_ms);
+        born_ms_ = last_born_ms_;
+        if (first_born_ms_ == 0)
+            first_born_ms_ = born_ms_;
+    }
     deadline_ms_ = 0;
     last_end_number_ = 0;
     running_.clear();
--- a/tests/soak/executor_model.hpp
+++ b/tests/soak/executor_model.hpp
@@ -78,7 +78,17 @@
         std::optional<core::time_point> stops_at; ///< set once ordered to stop
     };
 
-    /// @param name the id of the executor
+    /// How an incarnation is identified after its predecessor has ended.
+    enum class succession
+    {
+        same_id,
+        new_id,
+        /// The same id, but an earlier start time, since the time of day was
+        /// set back.
+        earlier_start,
+    };
+
+    /// @param name the id of the first incarnations
     /// @param agent the name of the agent that controls it
     /// @param capacity reported, but not enforced
     /// @param max_lease the longest lease that it grants
@@ -91,12 +101,13 @@
                    gang_registry& gangs);
 
     /// Starts the executor without any state of its former incarnation.
-    void begin_incarnation();
+    /// @param next how it is identified
+    void begin_incarnation(succession next = succession::same_id);
     /// Ends the executor and all its runs, as in a crash.
     void end_incarnation();
 
     bool is_up() const { return is_up_; }
-    std::string const& id() const { return name_; }
+    std::string const& id() const { return id_; }
     /// @return an id of the current incarnation
     std::string incarnation() const;
     std::int64_t born_ms() const { return born_ms_; }
@@ -152,6 +163,8 @@
     jobs::resources in_use() const; ///< by all current runs
 
     std::string name_;
+    std::string id_;
+    int successor_count_ = 0; ///< with ids of their own
     std::string agent_;
     jobs::resources capacity_;
     core::duration max_lease_;
@@ -160,6 +173,9 @@
     gang_registry& gangs_;
     bool is_up_ = false;
     std::int64_t born_ms_ = 0;
+    // No two incarnations have the same start time.
+    std::int64_t first_born_ms_ = 0;
+    std::int64_t last_born_ms_ = 0;
     core::time_point born_at_{};
     core::time_point advanced_at_{};
     std::int64_t deadline_ms_ = 0; ///< end of the lease, by its own clock
--- a/tests/soak/executor_server.cpp
+++ b/tests/soak/executor_server.cpp
@@ -61,7 +61,7 @@
     std::unique_ptr<executor_server> self(new executor_server(
         loop, std::move(endpoints), model, random, std::move(rack)));
     SEQUOIA_TRY(self->listen());
-    self->begin_incarnation();
+    self->begin_incarnation(executor_model::succession::same_id);
     auto* const owner = self.get();
     self->tick_timer_ = loop.every(tick_period, [owner] { owner->tick(); });
     self->heartbeat_timer_ =
@@ -108,13 +108,13 @@
     server_.reset();
 }
 
-void executor_server::begin_incarnation()
+void executor_server::begin_incarnation(executor_model::succession next)
 {
     is_draining_ = false;
     has_deregistered_ = false;
     sequence_ = 0;
     last_end_count_ = 0;
-    model_.begin_incarnation();
+    model_.begin_incarnation(next);
     send_heartbeat();
 }
 
@@ -238,27 +238,28 @@
     send_heartbeat();
 }
 
-void executor_server::crash(core::duration downtime)
+void executor_server::crash(core::duration downtime,
+                            executor_model::succession next)
 {
     if (!model_.is_up())
         return;
     model_.end_incarnation();
     late_order_timers_.clear();
     close_listener();
-    restart_timer_ = loop_.after(downtime, [this] {
-        begin_incarnation();
+    restart_timer_ = loop_.after(downtime, [this, next] {
+        begin_incarnation(next);
         update_listener();
     });
 }
 
-void executor_server::restart_unnoticed()
+void executor_server::restart_unnoticed(executor_model::succession next)
 {
     if (!model_.is_up())
         return;
     model_.end_incarnation();
     late_order_timers_.clear();
     pending_holds_.clear();
-    begin_incarnation();
+    begin_incarnation(next);
 }
 
 void executor_server::serve(event::http_request const& request,
--- a/tests/soak/executor_server.hpp
+++ b/tests/soak/executor_server.hpp
@@ -71,10 +71,14 @@
     void drain(core::duration remaining);
 
     /// Ends abruptly, and restarts after the downtime.
-    void crash(core::duration downtime);
+    /// @param next how the executor is identified then
+    void crash(
+        core::duration downtime,
+        executor_model::succession next = executor_model::succession::same_id);
 
     /// Ends and starts again at once, as behind a cut: no connection shows it.
-    void restart_unnoticed();
+    /// @param next how the executor is identified then
+    void restart_unnoticed(executor_model::succession next);
 
     /// Sends a heartbeat of an executor that does not exist, of a service that
     /// is not configured, as another program might.
@@ -112,7 +116,7 @@
     void send_later(std::string const& path, std::string const& body);
     bool loses_messages() const;
     bool loses_responses() const;
-    void begin_incarnation();
+    void begin_incarnation(executor_model::succession next);
     void serve(event::http_request const& request,
                event::http_responder const& respond);
     void serve_order(event::http_request const& request,
