agents: Count the longest lease after any change of the executor

Cause: polls extend the lease and name no incarnation. One that was sent to the predecessor carries a time on that one's clock, far ahead of the new clock, so the successor grants its longest lease, 10 s instead of 6 s. The agent assumed the longest lease only for a successor under the same id, and none for another id; after its own restart it assumed 6 s.

Change: the lease counts as the longest one after each change of the executor and after a restart of the agent.

Ruled out: the gang, late starts, and extensions by the agent itself; see docs/incidents/leases-by-the-clock-of-a-predecessor.md.

Tests, which failed before (6,700 and 6,610 ms instead of over 10,600 ms): agent_service_test.waits_for_the_longest_lease_of_a_successor and waits_for_the_longest_lease_after_its_own_restart.

--- a/packages/agents/agent_service.cpp
+++ b/packages/agents/agent_service.cpp
@@ -104,7 +104,7 @@
         infer_executor_from_orders();
         if (early)
             receive_heartbeat(std::move(early->worker), early->sequence);
-        lease_.assume_extended(timers_.now());
+        lease_.assume_longest_lease(timers_.now());
         core::log_event(
             "agent_ready",
             {{"executor", worker_.executor.id},
@@ -237,8 +237,9 @@
     if (is_new) {
         ends_.set_executor(worker.executor);
         lease_.reset();
-        // It may carry out starts that were sent to its predecessor.
-        if (worker.executor.id == worker_.executor.id)
+        // Polls do not name the incarnation, so those that were sent to its
+        // predecessor may have reached it.
+        if (!worker_.executor.id.empty())
             lease_.assume_longest_lease(timers_.now());
         has_deregistered_ = false;
         incarnation_confirmed_at_ = {};
--- a/packages/agents/executor_lease.cpp
+++ b/packages/agents/executor_lease.cpp
@@ -11,7 +11,7 @@
     is_suspended_ = false;
 }
 
-void executor_lease::assume_extended(core::time_point now)
+void executor_lease::record_extension(core::time_point now)
 {
     auto const stopped_by = now + timing_.max_time_to_stop();
     stopped_by_ = std::max(stopped_by_.value_or(stopped_by), stopped_by);
@@ -44,7 +44,7 @@
 {
     if (!clock_read_at_ || !may_extend(now))
         return std::nullopt;
-    assume_extended(now);
+    record_extension(now);
     // The least time that has passed on the executor's clock, so that the lease
     // is not longer than intended if that clock is slow.
     auto const passed =
--- a/packages/agents/executor_lease.hpp
+++ b/packages/agents/executor_lease.hpp
@@ -25,12 +25,10 @@
     /// @param received_at when the reply arrived
     void record_clock(std::int64_t clock_ms, core::time_point received_at);
 
-    /// Assumes that an earlier process has extended the lease.
-    /// @param now no such call has taken effect later
-    void assume_extended(core::time_point now);
-
-    /// Assumes that calls to an earlier incarnation have reached the current
-    /// one, which has granted its longest lease.
+    /// Assumes that calls of which this object does not know have extended the
+    /// lease: those of an earlier process, or those to an earlier incarnation.
+    /// The clock of the latter says nothing on the current one, which may have
+    /// granted its longest lease.
     /// @param now no such call has taken effect later
     void assume_longest_lease(core::time_point now);
 
@@ -73,6 +71,8 @@
     bool has_expired(core::time_point now) const;
 
 private:
+    void record_extension(core::time_point now);
+
     jobs::lease_timing timing_;
     std::int64_t clock_ms_ = 0; ///< the executor's clock at clock_read_at_
     std::optional<core::time_point> clock_read_at_;
--- a/tests/agents/agent_service_test.cpp
+++ b/tests/agents/agent_service_test.cpp
@@ -197,6 +197,24 @@
         store.reads = memory_row_store::fault::none;
     }
 
+    /// Replaces the agent by one whose executor grants leases of 10 s.
+    void grant_longer_leases()
+    {
+        agent.emplace(store, timers, executor, notices,
+                      agent_service::options{"a", {10s, 400ms}});
+    }
+
+    /// @return how long after a moment the agent reports the executor as gone;
+    ///         a longer time than any lease takes if it does not
+    core::duration time_until_gone(core::time_point since)
+    {
+        while (report().worker.state != jobs::worker_state::gone &&
+               timers.now() < since + 20s)
+            timers.advance(10ms);
+        EXPECT_EQ(report().worker.state, jobs::worker_state::gone);
+        return timers.now() - since;
+    }
+
     /// @return whether the agent has told the decider that the executor ended
     bool has_announced_end()
     {
@@ -214,6 +232,8 @@
         return core::value(jobs::decode_report(row->value));
     }
 
+    /// Of a lease of 10 s, by a clock that is slow by two percent.
+    static constexpr core::duration longest_time_to_stop{10'600};
     std::string const decider = "10.0.0.1:7000";
     support::manual_timers timers;
     memory_row_store store;
@@ -744,18 +764,45 @@
 // lease then.
 TEST_F(agent_service_test, waits_for_the_longest_lease_of_a_restarted_executor)
 {
-    constexpr core::duration longest_lease = 10s;
-    agent.emplace(store, timers, executor, notices,
-                  agent_service::options{"a", {longest_lease, 400ms}});
+    grant_longer_leases();
     begin();
     executor.is_refusing = true;
     auto const restarted_at = timers.now();
     heartbeat(jobs::worker_state::ready, 2);
-    while (report().worker.state != jobs::worker_state::gone &&
-           timers.now() < restarted_at + 20s)
-        timers.advance(10ms);
-    EXPECT_EQ(report().worker.state, jobs::worker_state::gone);
-    EXPECT_GT(timers.now() - restarted_at, longest_lease * 102 / 100 + 400ms);
+    EXPECT_GT(time_until_gone(restarted_at), longest_time_to_stop);
+}
+
+// Guards against the same where the successor has another id: polls reach it as
+// well, since they name none.
+TEST_F(agent_service_test, waits_for_the_longest_lease_of_a_successor)
+{
+    grant_longer_leases();
+    begin();
+    executor.born_ms = 5;
+    announce_executor("i-9", 5);
+    while (report().worker.executor.id != "i-9")
+        timers.advance(1ms);
+    auto const adopted_at = timers.now();
+    auto order = make_order(0);
+    order.executor = {"i-9", 5};
+    put_order(order);
+    timers.advance(100ms);
+    ASSERT_TRUE(executor.running.contains(order.run));
+    executor.is_refusing = true;
+    EXPECT_GT(time_until_gone(adopted_at), longest_time_to_stop);
+}
+
+// Guards against the same after a restart of the agent, which cannot know when
+// its executor began.
+TEST_F(agent_service_test, waits_for_the_longest_lease_after_its_own_restart)
+{
+    grant_longer_leases();
+    begin();
+    executor.is_refusing = true;
+    auto const restarted_at = timers.now();
+    grant_longer_leases();
+    agent->start();
+    EXPECT_GT(time_until_gone(restarted_at), longest_time_to_stop);
 }
 
 // Guards against a new session and reports with each heartbeat of an executor
