--- a/packages/agents/agent_service.cpp
+++ b/packages/agents/agent_service.cpp
@@ -95,7 +95,7 @@
     if (!is_serving_) {
         is_serving_ = true;
         // What it names can be compared only with what is restored below.
-        auto early = std::exchange(announced_, std::nullopt);
+        auto early = announced_.take();
         if (auto const& previous = publisher_.previous_report()) {
             if (worker_.executor.id.empty())
                 update_executor(previous->worker);
@@ -148,11 +148,7 @@
     // The lists could not tell an equal start from that of the current one.
     if (worker.executor.born_ms == worker_.executor.born_ms)
         return;
-    bool const is_repeated =
-        announced_ && announced_->worker.executor == worker.executor;
-    auto const received_at =
-        is_repeated ? announced_->received_at : timers_.now();
-    announced_ = announcement{std::move(worker), sequence, received_at};
+    announced_.record({std::move(worker), sequence}, timers_.now());
     refresh_snapshot();
     poll_executor();
 }
@@ -244,7 +240,7 @@
         has_deregistered_ = false;
         incarnation_confirmed_at_ = {};
         refused_since_.reset();
-        announced_.reset();
+        announced_.clear();
     }
     if (is_new || has_new_state || worker.capacity != worker_.capacity) {
         publisher_.mark_outdated();
@@ -350,7 +346,8 @@
 void agent_service::poll_executor()
 {
     bool const is_gone = worker_.state == jobs::worker_state::gone &&
-                         !is_gone_behind_broken_path() && !announced_;
+                         !is_gone_behind_broken_path() &&
+                         !announced_.is_pending();
     if (is_polling_ || !is_serving_ || worker_.executor.id.empty() || is_gone ||
         timers_.now() < next_poll_at_)
         return;
@@ -379,7 +376,7 @@
 void agent_service::send_poll(core::time_point now, core::duration wait,
                               std::function<void(executor_snapshot)> done)
 {
-    if (lease_.is_suspended() || announced_)
+    if (lease_.is_suspended() || announced_.is_pending())
         return runtime_.poll(0, std::nullopt, core::duration(0),
                              std::move(done));
     runtime_.poll(ends_.acknowledged_number(),
@@ -391,7 +388,7 @@
 void agent_service::refresh_snapshot()
 {
     auto const requested_at = timers_.now();
-    bool const is_needed = announced_ || tracker_.needs_snapshot();
+    bool const is_needed = announced_.is_pending() || tracker_.needs_snapshot();
     if (!is_polling_ || is_refreshing_ || !is_needed ||
         requested_at < next_refresh_at_)
         return;
@@ -412,8 +409,11 @@
                                      core::time_point requested_at)
 {
     refused_since_.reset();
-    if (announced_ && announced_->worker.executor.born_ms == snapshot.born_ms)
-        return accept_announcement();
+    if (announced_.is_confirmed_by(snapshot.born_ms)) {
+        auto confirmed = *announced_.take();
+        return accept_heartbeat(std::move(confirmed.worker),
+                                confirmed.sequence);
+    }
     if (snapshot.born_ms != worker_.executor.born_ms) {
         // A new incarnation whose first heartbeat has not arrived yet.
         lease_.suspend();
@@ -421,7 +421,7 @@
         next_poll_at_ = timers_.now() + retry_delay;
         return;
     }
-    if (announced_ && announced_->received_at <= requested_at)
+    if (announced_.is_refuted_by(requested_at))
         reject_announcement();
     lease_.resume();
     incarnation_confirmed_at_ = requested_at;
@@ -449,19 +449,13 @@
         [this] { poll_executor(); });
 }
 
-void agent_service::accept_announcement()
-{
-    auto confirmed = *std::exchange(announced_, std::nullopt);
-    accept_heartbeat(std::move(confirmed.worker), confirmed.sequence);
-}
-
 void agent_service::reject_announcement()
 {
-    auto const& other = announced_->worker.executor;
+    auto const rejected = announced_.take();
+    auto const& other = rejected->worker.executor;
     core::log_event("heartbeat_rejected", {{"executor", other.id},
                                            {"born_ms", other.born_ms},
                                            {"current", worker_.executor.id}});
-    announced_.reset();
 }
 
 void agent_service::receive_poll_failure(bool is_connection_refused)
@@ -500,7 +494,8 @@
 bool agent_service::have_all_runs_ended() const
 {
     auto const now = timers_.now();
-    return lease_.has_expired(now) || (announced_ && lease_.has_run_out(now)) ||
+    return lease_.has_expired(now) ||
+           (announced_.is_pending() && lease_.has_run_out(now)) ||
            (refuses_connections() && lease_.is_unused());
 }
 
--- a/packages/agents/agent_service.hpp
+++ b/packages/agents/agent_service.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "agents/end_acknowledgement.hpp"
+#include "agents/executor_announcement.hpp"
 #include "agents/executor_lease.hpp"
 #include "agents/executor_runtime.hpp"
 #include "agents/report_publisher.hpp"
@@ -68,15 +69,6 @@
                                 std::optional<std::int64_t> born_ms);
 
 private:
-    /// A heartbeat that names another executor than the current one or an
-    /// earlier start, or one that arrived before the orders were loaded.
-    struct announcement
-    {
-        jobs::worker_description worker;
-        std::int64_t sequence = 0;
-        core::time_point received_at{};
-    };
-
     void accept_heartbeat(jobs::worker_description worker,
                           std::int64_t sequence);
     bool needs_confirmation(jobs::worker_description const& announced) const;
@@ -95,8 +87,6 @@
     run_tracker::start_permission start_permission(core::time_point now) const;
     void receive_snapshot(executor_snapshot const& snapshot,
                           core::time_point requested_at);
-    /// Makes the announced executor the current one.
-    void accept_announcement();
     /// Drops an announcement, since the current executor still answers.
     void reject_announcement();
     void receive_poll_failure(bool is_connection_refused);
@@ -137,8 +127,9 @@
     /// The executor counts as gone because it could not be reached until its
     /// lease ran out. Its next heartbeat shows that it still exists.
     bool is_presumed_gone_ = false;
-    /// Until it is confirmed or rejected. Another program may have sent it.
-    std::optional<announcement> announced_;
+    /// A heartbeat that names another executor than the current one or an
+    /// earlier start, or one that arrived before the orders were loaded.
+    executor_announcement announced_;
     executor_lease lease_;
 
     /// When the last snapshot that came from the current incarnation was
