rows: Date reports late rather than early

Callers would see a task that runs twice: an agent counts as lost, and its runs as lapsed, while its executor still has a lease.

Cause: an answer of the store bounds the time of its clock from both sides. The first estimate was the early bound, in the agent too, which dates its reports by it. If its process handles the first answer late, the first report seems older than it is by as much, and a decider that takes over before the second one counts the silence from there.

Change: each store_clock names the side on which its estimate stays. Replicas estimate early, agents late, so that no report seems older than it is.

Ruled out: the later reports, since any further answer corrects the estimate.

Test: store_clock.is_never_early_if_it_estimates_late; the early side, which agents had, gives 7,000 ms instead of 10,000 ms there. Found by reading; no run of real processes has shown it.

--- a/packages/agents/report_publisher.hpp
+++ b/packages/agents/report_publisher.hpp
@@ -110,7 +110,8 @@
     bool is_outdated_ = true;
     core::time_point published_at_{};
     core::time_point sent_at_{};
-    rows::store_clock store_clock_;
+    /// Late, so that reports do not seem to be older than they are.
+    rows::store_clock store_clock_{rows::store_clock::side::late};
     core::duration written_at_{0}; ///< of the last report, by the store's clock
     std::unique_ptr<event::timer> load_timer_;
     std::unique_ptr<event::timer> retry_timer_;
--- a/packages/rows/store_clock.cpp
+++ b/packages/rows/store_clock.cpp
@@ -11,7 +11,9 @@
         return;
     auto const least_offset = store_time - received_at.time_since_epoch();
     auto const greatest_offset = store_time - sent_at.time_since_epoch();
-    offset_ = std::clamp(offset_.value_or(least_offset), least_offset,
+    auto const first_offset =
+        side_ == side::early ? least_offset : greatest_offset;
+    offset_ = std::clamp(offset_.value_or(first_offset), least_offset,
                          greatest_offset);
 }
 
--- a/packages/rows/store_clock.hpp
+++ b/packages/rows/store_clock.hpp
@@ -9,10 +9,18 @@
 /// Estimates the current time of the store's steady clock from its answers. An
 /// answer may arrive long after the store has read its clock, so it only bounds
 /// that time: the clock was read after the call was sent and before the answer
-/// arrived.
+/// arrived. The estimate is on the same side of the true time throughout.
 class store_clock
 {
 public:
+    enum class side
+    {
+        early, ///< never later than the true time
+        late,  ///< never earlier
+    };
+
+    explicit store_clock(side estimate) : side_(estimate) {}
+
     /// Adds an answer of the store. The estimate changes only as far as the
     /// answer contradicts it.
     /// @param store_time the time in the answer; zero if it has none, which
@@ -26,6 +34,7 @@
     core::duration time(core::time_point now) const;
 
 private:
+    side side_;
     /// The store's time minus the time of this process since its epoch.
     std::optional<core::duration> offset_;
 };
--- a/packages/rows/table_replica.hpp
+++ b/packages/rows/table_replica.hpp
@@ -133,7 +133,8 @@
     row_version version_ = no_row;
     std::optional<core::time_point> confirmed_at_;
     core::time_point sent_at_{}; ///< start of the current poll or full read
-    store_clock store_clock_;
+    /// Early, so that rows do not seem to be older than they are.
+    store_clock store_clock_{store_clock::side::early};
 
     // The state of a read of the whole table.
     std::size_t parts_to_load_ = 0;
--- a/tests/rows/store_clock_test.cpp
+++ b/tests/rows/store_clock_test.cpp
@@ -12,7 +12,7 @@
 TEST(store_clock, is_not_set_back_by_a_delayed_answer)
 {
     core::time_point const start{100s};
-    store_clock clock;
+    store_clock clock(store_clock::side::early);
     EXPECT_EQ(clock.time(start), 0ms);
     clock.record(7000ms, start, start + 10ms);
     EXPECT_EQ(clock.time(start + 10ms), 7000ms);
@@ -24,7 +24,7 @@
 TEST(store_clock, ignores_an_answer_without_a_time)
 {
     core::time_point const start{100s};
-    store_clock clock;
+    store_clock clock(store_clock::side::early);
     clock.record(0ms, start, start + 10ms);
     EXPECT_EQ(clock.time(start + 10ms), 0ms);
     clock.record(7000ms, start, start + 10ms);
@@ -32,10 +32,24 @@
     EXPECT_EQ(clock.time(start + 10ms), 7000ms);
 }
 
+// Guards against an agent that counts as lost too early: its first report is
+// dated by an answer that its process has handled seconds late.
+TEST(store_clock, is_never_early_if_it_estimates_late)
+{
+    core::time_point const start{100s};
+    store_clock clock(store_clock::side::late);
+    clock.record(7000ms, start, start + 3s);
+    EXPECT_EQ(clock.time(start + 3s), 10'000ms);
+    clock.record(8000ms, start + 3s, start + 3s + 10ms);
+    EXPECT_EQ(clock.time(start + 3s + 10ms), 8010ms);
+    clock.record(9000ms, start + 4s, start + 6s);
+    EXPECT_EQ(clock.time(start + 6s), 11'000ms);
+}
+
 TEST(store_clock, is_corrected_by_an_answer_that_contradicts_it)
 {
     core::time_point const start{100s};
-    store_clock clock;
+    store_clock clock(store_clock::side::early);
     clock.record(7000ms, start, start + 3s);
     clock.record(10'500ms, start + 3s, start + 3s + 10ms);
     EXPECT_EQ(clock.time(start + 3s + 10ms), 10'500ms);
