agents: Adopt a restarted executor only once it answers

Cause: a late heartbeat of a predecessor named a later start than the current incarnation, since the time of day had been set back between the two. A later start under the same id counted at once, so that the agent reported the runs of the current incarnation as lost.

Change: a heartbeat that names another incarnation, by id or start time, counts once the lists at the executor's address show it. While one is kept, the lease counts as the longest one from its arrival on, since a successor may have taken polls that were sent to its predecessor.

Ruled out: an order by sequence numbers, which begin anew with each start, or by arrival.

Test, which failed before: agent_service_test.keeps_its_executor_when_a_later_start_ is_announced.

--- a/packages/agents/agent_service.cpp
+++ b/packages/agents/agent_service.cpp
@@ -148,23 +148,24 @@
     // The lists could not tell an equal start from that of the current one.
     if (worker.executor.born_ms == worker_.executor.born_ms)
         return;
+    // If it has replaced the current executor, it may have taken polls that
+    // were sent to that one.
+    if (is_serving_ && !announced_.is_pending())
+        lease_.assume_longest_lease(timers_.now());
     announced_.record({std::move(worker), sequence}, timers_.now());
     refresh_snapshot();
     poll_executor();
 }
 
-/// An executor that the heartbeat does not name may be running, and its runs
-/// would count as lost. A heartbeat with an earlier start time is a late one of
-/// a predecessor, or the time of day has been set back before a restart.
+/// The current executor may be running, and its runs would count as lost: the
+/// heartbeat may be that of another program, or a late one of a predecessor.
+/// Start times do not tell which is the later one, since the time of day may
+/// have been set back between them.
 bool agent_service::needs_confirmation(
     jobs::worker_description const& announced) const
 {
-    auto const& current = worker_.executor;
-    if (current.id.empty())
-        return false;
-    bool const is_from_other_id =
-        !has_left() && announced.executor.id != current.id;
-    return is_from_other_id || announced.executor.born_ms < current.born_ms;
+    return !worker_.executor.id.empty() &&
+           announced.executor != worker_.executor;
 }
 
 bool agent_service::has_left() const
--- a/packages/agents/agent_service.hpp
+++ b/packages/agents/agent_service.hpp
@@ -48,9 +48,8 @@
 
     /// Updates the worker from a heartbeat of its executor. Heartbeats are
     /// ignored if they arrive out of order, or come from an incarnation that is
-    /// gone. One that names another executor than the current one, or an
-    /// earlier start, counts only once that incarnation answers at the
-    /// executor's address.
+    /// gone. One that names another incarnation than the current one counts
+    /// only once that one answers at the executor's address.
     /// @param worker the executor's description of the worker
     /// @param sequence increases with each heartbeat of an incarnation
     void receive_heartbeat(jobs::worker_description worker,
@@ -127,8 +126,8 @@
     /// The executor counts as gone because it could not be reached until its
     /// lease ran out. Its next heartbeat shows that it still exists.
     bool is_presumed_gone_ = false;
-    /// A heartbeat that names another executor than the current one or an
-    /// earlier start, or one that arrived before the orders were loaded.
+    /// A heartbeat that names another incarnation than the current one, or that
+    /// arrived before the orders were loaded.
     executor_announcement announced_;
     executor_lease lease_;
 
--- a/tests/agents/agent_service_test.cpp
+++ b/tests/agents/agent_service_test.cpp
@@ -1202,6 +1202,28 @@
     EXPECT_GT(executor.lease_end_ms, executor.clock_ms() + 4000);
 }
 
+// Guards against tasks that run twice: a late heartbeat of a predecessor names
+// a later start than the current incarnation, since the time of day was set
+// back between the two.
+TEST_F(agent_service_test, keeps_its_executor_when_a_later_start_is_announced)
+{
+    executor.born_ms = 100;
+    begin_with_start_time(100);
+    executor.born_ms = 50;
+    heartbeat(jobs::worker_state::ready, 50);
+    timers.advance(500ms);
+    auto order = make_order(0);
+    order.executor.born_ms = 50;
+    put_order(order);
+    timers.advance(100ms);
+    ASSERT_TRUE(executor.running.contains(order.run));
+    heartbeat(jobs::worker_state::ready, 100);
+    timers.advance(2s);
+    EXPECT_EQ(report().worker.executor.born_ms, 50);
+    EXPECT_TRUE(report().ended.empty());
+    EXPECT_TRUE(executor.running.contains(order.run));
+}
+
 // Guards against leases that expire because heartbeats of another program
 // arrive faster than the executor answers.
 TEST_F(agent_service_test, extends_its_lease_in_spite_of_many_announcements)
