agents: Confirm a heartbeat by later lists only

Callers would see a task that runs twice: the agent adopts an incarnation that has ended, and reports the runs of the current one as lost.

Cause: lists confirmed a kept heartbeat whenever they had been requested. An answer that a predecessor sent late, after a late heartbeat of it had arrived, confirmed it.

Change: lists count only if they were requested after the heartbeat arrived, as they already did for its refutation.

Ruled out: a confirmation by two answers, which would delay each successor.

--- a/packages/agents/agent_service.cpp
+++ b/packages/agents/agent_service.cpp
@@ -410,7 +410,7 @@
                                      core::time_point requested_at)
 {
     refused_since_.reset();
-    if (announced_.is_confirmed_by(snapshot.born_ms)) {
+    if (announced_.is_confirmed_by(snapshot.born_ms, requested_at)) {
         auto confirmed = *announced_.take();
         return accept_heartbeat(std::move(confirmed.worker),
                                 confirmed.sequence);
--- a/packages/agents/executor_announcement.cpp
+++ b/packages/agents/executor_announcement.cpp
@@ -14,9 +14,11 @@
     heartbeat_ = std::move(received);
 }
 
-bool executor_announcement::is_confirmed_by(std::int64_t born_ms) const
+bool executor_announcement::is_confirmed_by(std::int64_t born_ms,
+                                            core::time_point requested_at) const
 {
-    return heartbeat_ && heartbeat_->worker.executor.born_ms == born_ms;
+    return heartbeat_ && received_at_ <= requested_at &&
+           heartbeat_->worker.executor.born_ms == born_ms;
 }
 
 bool executor_announcement::is_refuted_by(core::time_point requested_at) const
--- a/packages/agents/executor_announcement.hpp
+++ b/packages/agents/executor_announcement.hpp
@@ -30,8 +30,12 @@
     bool is_pending() const { return heartbeat_.has_value(); }
 
     /// @param born_ms the start time in the executor's lists
-    /// @return whether they are those of the announced executor
-    bool is_confirmed_by(std::int64_t born_ms) const;
+    /// @param requested_at when they were requested
+    /// @return whether they show that the announced executor runs now. Lists
+    ///         that were requested before the heartbeat arrived may be those of
+    ///         a predecessor.
+    bool is_confirmed_by(std::int64_t born_ms,
+                         core::time_point requested_at) const;
 
     /// @param requested_at when lists of the current executor were requested
     /// @return whether they show that the announced one did not replace it
--- a/tests/agents/agent_service_test.cpp
+++ b/tests/agents/agent_service_test.cpp
@@ -76,8 +76,10 @@
         snapshot.ended = ended;
         for (auto const& [run, order] : running)
             snapshot.running.push_back({run, "", 50, 100, response_time});
-        pending_.push_back(timers_.after(
-            5ms, [done = std::move(done), snapshot] { done(snapshot); }));
+        pending_.push_back(
+            timers_.after(answer_delay, [done = std::move(done), snapshot] {
+                done(snapshot);
+            }));
     }
 
     void end(jobs::run_id const& run, jobs::run_end how)
@@ -98,6 +100,7 @@
     bool is_stop_busy = false; ///< stops are answered as busy
     std::int64_t clock_offset_ms = 0;
     std::int64_t born_ms = 1;
+    core::duration answer_delay{5}; ///< until a poll is answered
     std::map<jobs::run_id, std::int32_t> shares;
     core::duration response_time{0};
     std::int64_t lease_end_ms = 0;
@@ -1224,6 +1227,34 @@
     EXPECT_TRUE(executor.running.contains(order.run));
 }
 
+// Guards against a task that runs twice: an answer of a predecessor, which was
+// requested before its successor was known, arrives after a late heartbeat.
+TEST_F(agent_service_test, takes_no_late_answer_as_that_of_an_earlier_executor)
+{
+    executor.born_ms = 50;
+    executor.answer_delay = 900ms;
+    agent->start();
+    announce_executor("i-0", 50);
+    timers.advance(200ms);
+    executor.answer_delay = 5ms;
+    executor.born_ms = 100;
+    heartbeat(jobs::worker_state::ready, 100);
+    timers.advance(50ms);
+    auto order = make_order(0);
+    order.executor.born_ms = 100;
+    put_order(order);
+    timers.advance(300ms);
+    ASSERT_TRUE(executor.running.contains(order.run));
+    executor.answer_delay = 600ms;
+    announce_executor("i-0", 50);
+    for (int step = 0; step < 200; ++step) {
+        timers.advance(10ms);
+        ASSERT_TRUE(report().ended.empty());
+        ASSERT_EQ(report().worker.executor.born_ms, 100);
+    }
+    EXPECT_TRUE(executor.running.contains(order.run));
+}
+
 // Guards against leases that expire because heartbeats of another program
 // arrive faster than the executor answers.
 TEST_F(agent_service_test, extends_its_lease_in_spite_of_many_announcements)
--- a/tests/agents/executor_announcement_test.cpp
+++ b/tests/agents/executor_announcement_test.cpp
@@ -16,17 +16,18 @@
     return received;
 }
 
-// Guards against lists from before the heartbeat that refute it, since the
-// executor may have been replaced after them.
-TEST(executor_announcement_test, is_refuted_by_later_lists_only)
+// Guards against lists from before the heartbeat that confirm or refute it,
+// since the executor may have been replaced after them.
+TEST(executor_announcement_test, is_decided_by_later_lists_only)
 {
     executor_announcement announced;
     EXPECT_FALSE(announced.is_refuted_by(core::time_point(5s)));
     announced.record(make_heartbeat(3, 1), core::time_point(4s));
     EXPECT_FALSE(announced.is_refuted_by(core::time_point(3s)));
+    EXPECT_FALSE(announced.is_confirmed_by(3, core::time_point(3s)));
     EXPECT_TRUE(announced.is_refuted_by(core::time_point(4s)));
-    EXPECT_TRUE(announced.is_confirmed_by(3));
-    EXPECT_FALSE(announced.is_confirmed_by(2));
+    EXPECT_TRUE(announced.is_confirmed_by(3, core::time_point(4s)));
+    EXPECT_FALSE(announced.is_confirmed_by(2, core::time_point(4s)));
 }
 
 // Guards against a heartbeat that is never refuted, because its sender repeats
