agents: Use an executor again that an earlier process took as gone

Callers would see a healthy executor that gets no more work until it restarts: its agent restarted while the executor counted as gone because it could not be reached.

Cause: a report says that an executor is gone, but not whether it has left or was only out of reach until its lease expired. A restarted agent took it as left and ignored its heartbeats.

Change: unless this process has seen the deregistration, a heartbeat of an executor that counts as gone is kept until its lists show that it runs.

--- a/packages/agents/agent_service.cpp
+++ b/packages/agents/agent_service.cpp
@@ -146,7 +146,8 @@
     if (is_serving_ && !needs_confirmation(worker))
         return accept_heartbeat(std::move(worker), sequence);
     // The lists could not tell an equal start from that of the current one.
-    if (worker.executor.born_ms == worker_.executor.born_ms)
+    if (worker.executor != worker_.executor &&
+        worker.executor.born_ms == worker_.executor.born_ms)
         return;
     // If it has replaced the current executor, it may have taken polls that
     // were sent to that one.
@@ -160,12 +161,16 @@
 /// The current executor may be running, and its runs would count as lost: the
 /// heartbeat may be that of another program, or a late one of a predecessor.
 /// Start times do not tell which is the later one, since the time of day may
-/// have been set back between them.
+/// have been set back between them. An earlier process of the agent may have
+/// presumed that the executor is gone, so that its lists have to show whether
+/// it is.
 bool agent_service::needs_confirmation(
     jobs::worker_description const& announced) const
 {
-    return !worker_.executor.id.empty() &&
-           announced.executor != worker_.executor;
+    if (worker_.executor.id.empty())
+        return false;
+    bool const may_have_left = has_left() && !has_deregistered_;
+    return announced.executor != worker_.executor || may_have_left;
 }
 
 bool agent_service::has_left() const
@@ -412,6 +417,8 @@
     refused_since_.reset();
     if (announced_.is_confirmed_by(snapshot.born_ms, requested_at)) {
         auto confirmed = *announced_.take();
+        if (confirmed.worker.executor == worker_.executor)
+            is_presumed_gone_ = true;
         return accept_heartbeat(std::move(confirmed.worker),
                                 confirmed.sequence);
     }
--- a/tests/agents/agent_service_test.cpp
+++ b/tests/agents/agent_service_test.cpp
@@ -1255,6 +1255,29 @@
     EXPECT_TRUE(executor.running.contains(order.run));
 }
 
+// Guards against an executor that is never used again: the agent restarts while
+// its executor counts as gone because its path was cut.
+TEST_F(agent_service_test,
+       uses_an_executor_again_that_it_found_gone_at_its_start)
+{
+    begin();
+    executor.is_silent = true;
+    cut_store();
+    timers.advance(12s);
+    restore_store();
+    timers.advance(1s);
+    ASSERT_EQ(report().worker.state, jobs::worker_state::gone);
+    replace_agent();
+    agent->start();
+    executor.is_silent = false;
+    for (int sent = 0; sent < 10; ++sent) {
+        timers.advance(1500ms);
+        heartbeat(jobs::worker_state::ready);
+    }
+    timers.advance(1s);
+    EXPECT_EQ(report().worker.state, jobs::worker_state::ready);
+}
+
 // Guards against leases that expire because heartbeats of another program
 // arrive faster than the executor answers.
 TEST_F(agent_service_test, extends_its_lease_in_spite_of_many_announcements)
