agents: Count an executor as gone when another one answers for long

Callers would see tasks that never start again: their executor has been replaced, its successor answers the agent's polls, and none of the successor's heartbeats arrives.

Cause: an agent looked whether the lease has run out only after polls that failed.

Change: the lists of another incarnation count as well. They show that the executor has ended, or will not be reached; its runs have ended when the lease has run out.

Ruled out: ending it at once, since an answer may be older than the heartbeat that the agent has acted on.

--- a/packages/agents/agent_service.cpp
+++ b/packages/agents/agent_service.cpp
@@ -427,6 +427,9 @@
         lease_.suspend();
         incarnation_confirmed_at_ = {};
         next_poll_at_ = timers_.now() + retry_delay;
+        if (worker_.state != jobs::worker_state::gone &&
+            lease_.has_run_out(timers_.now()))
+            presume_gone("another incarnation answers");
         return;
     }
     if (announced_.is_refuted_by(requested_at))
@@ -485,10 +488,15 @@
         avoid_executor();
     if (!have_all_runs_ended())
         return;
+    presume_gone("not reachable until its lease expired");
+}
+
+void agent_service::presume_gone(std::string_view cause)
+{
     lease_.end();
     // The executor may return, and the decider then has taken its runs as lost.
     publisher_.begin_session("the executor counts as gone");
-    mark_executor_gone("not reachable until its lease expired");
+    mark_executor_gone(cause);
     is_presumed_gone_ = true;
 }
 
--- a/packages/agents/agent_service.hpp
+++ b/packages/agents/agent_service.hpp
@@ -93,6 +93,8 @@
     bool have_all_runs_ended() const;
     bool is_gone_behind_broken_path() const;
     void avoid_executor();
+    /// Counts the executor as gone until a heartbeat shows that it exists.
+    void presume_gone(std::string_view cause);
     void mark_executor_gone(std::string_view cause);
     void stop_runs_without_order();
     void throttle_fillers();
--- a/tests/agents/agent_service_test.cpp
+++ b/tests/agents/agent_service_test.cpp
@@ -1278,6 +1278,31 @@
     EXPECT_EQ(report().worker.state, jobs::worker_state::ready);
 }
 
+// Guards against runs that never start again: another incarnation answers at
+// the address of the executor, but none of its heartbeats arrives.
+TEST_F(agent_service_test, ends_its_executor_when_another_one_answers)
+{
+    begin();
+    put_order(make_order(0));
+    timers.advance(200ms);
+    executor.running.clear();
+    executor.born_ms = 2;
+    EXPECT_LT(time_until_gone(timers.now()), 8s);
+}
+
+// Guards against the same after a deregistration.
+TEST_F(agent_service_test,
+       ends_a_deregistered_executor_when_another_one_answers)
+{
+    begin();
+    put_order(make_order(0));
+    timers.advance(200ms);
+    agent->receive_deregistration("i-1", 1);
+    executor.running.clear();
+    executor.born_ms = 2;
+    EXPECT_LT(time_until_gone(timers.now()), 8s);
+}
+
 // Guards against leases that expire because heartbeats of another program
 // arrive faster than the executor answers.
 TEST_F(agent_service_test, extends_its_lease_in_spite_of_many_announcements)
