agents: End runs of other incarnations once the current one is confirmed

Callers would see a task that runs twice, or work that is stopped without need, when an agent restarts after the start time of its executor has gone back.

Cause: a restarted agent takes its executor from a report that may be stale, or from orders. Runs of an earlier start ended as replaced at once, before any answer of the executor.

Change: after its start, the agent ends runs of other incarnations only once lists of the current one, a new incarnation or the end of the lease have confirmed it. Reports already wait for the ends of such runs.

--- a/packages/agents/agent_service.cpp
+++ b/packages/agents/agent_service.cpp
@@ -102,6 +102,7 @@
             restore_ends(*previous);
         }
         infer_executor_from_orders();
+        tracker_.set_executor_confirmed(false);
         if (early)
             receive_heartbeat(std::move(early->worker), early->sequence);
         lease_.assume_longest_lease(timers_.now());
@@ -261,6 +262,8 @@
     }
     is_worker_inferred_ = false;
     is_presumed_gone_ = false;
+    if (is_new || worker.state == jobs::worker_state::gone)
+        tracker_.set_executor_confirmed(true);
     worker_ = std::move(worker);
     tracker_.set_executor(worker_);
 }
@@ -434,6 +437,7 @@
     }
     if (announced_.is_refuted_by(requested_at))
         reject_announcement();
+    tracker_.set_executor_confirmed(true);
     lease_.resume();
     incarnation_confirmed_at_ = requested_at;
     lease_.record_clock(snapshot.clock_ms, timers_.now());
--- a/packages/agents/run_tracker.cpp
+++ b/packages/agents/run_tracker.cpp
@@ -161,7 +161,7 @@
         if (tracked.ended || tracked.is_call_pending || now < tracked.retry_at)
             continue;
         if (tracked.order.executor != worker_.executor) {
-            if (is_replaced(tracked))
+            if (is_executor_confirmed_ && is_replaced(tracked))
                 end_replaced(tracked, actions);
             continue;
         }
--- a/packages/agents/run_tracker.hpp
+++ b/packages/agents/run_tracker.hpp
@@ -77,6 +77,13 @@
     /// in state `ready`.
     void set_executor(jobs::worker_description const& worker);
 
+    /// Runs of other incarnations end only once the current one is confirmed: a
+    /// restarted agent knows it from a report or orders that may be outdated.
+    void set_executor_confirmed(bool is_confirmed)
+    {
+        is_executor_confirmed_ = is_confirmed;
+    }
+
     /// Updates all runs from a snapshot of the executor.
     /// @param snapshot a snapshot with `is_ok`
     /// @param requested_at when it was requested; runs whose start or stop was
@@ -179,6 +186,7 @@
     std::map<jobs::run_id, tracked_run> runs_;
     std::string session_;
     jobs::worker_description worker_;
+    bool is_executor_confirmed_ = true;
     /// Earlier incarnations whose start times are later than the current one.
     std::set<jobs::incarnation> ended_incarnations_;
     std::vector<jobs::run_id> runs_without_order_;
--- a/tests/agents/agent_service_test.cpp
+++ b/tests/agents/agent_service_test.cpp
@@ -1303,6 +1303,73 @@
     EXPECT_LT(time_until_gone(timers.now()), 8s);
 }
 
+// Guards against a task that runs twice: a restarted agent reads a report from
+// before its executor was replaced by one with an earlier start time.
+TEST_F(agent_service_test, keeps_runs_of_an_earlier_start_than_its_stale_report)
+{
+    executor.born_ms = 100;
+    begin_with_start_time(100);
+    executor.born_ms = 50;
+    auto order = make_order(0);
+    order.executor = {"i-9", 50};
+    put_order(order);
+    executor.running[order.run] = order;
+    replace_agent();
+    agent->start();
+    timers.advance(200ms);
+    announce_executor("i-9", 50);
+    timers.advance(2s);
+    EXPECT_EQ(report().worker.executor.id, "i-9");
+    EXPECT_TRUE(report().ended.empty());
+    EXPECT_TRUE(executor.running.contains(order.run));
+}
+
+// Guards against work that is stopped without need: the same under one id.
+TEST_F(agent_service_test, stops_no_run_of_an_earlier_start_than_its_report)
+{
+    executor.born_ms = 100;
+    begin_with_start_time(100);
+    executor.born_ms = 50;
+    auto order = make_order(0);
+    order.executor = {"i-1", 50};
+    put_order(order);
+    executor.running[order.run] = order;
+    replace_agent();
+    agent->start();
+    heartbeat(jobs::worker_state::ready, 50);
+    timers.advance(2s);
+    EXPECT_EQ(report().worker.executor.born_ms, 50);
+    EXPECT_TRUE(report().ended.empty());
+    EXPECT_TRUE(executor.running.contains(order.run));
+}
+
+// Guards against a task that runs twice: a restarted agent finds an order of
+// the predecessor, which has a later start time than its executor.
+TEST_F(agent_service_test, keeps_runs_beside_an_order_of_a_later_start)
+{
+    executor.born_ms = 100;
+    begin_with_start_time(100);
+    executor.born_ms = 50;
+    announce_executor("i-9", 50);
+    timers.advance(1s);
+    ASSERT_EQ(report().worker.executor.id, "i-9");
+    auto order = make_order(0);
+    order.executor = {"i-9", 50};
+    put_order(order);
+    timers.advance(200ms);
+    ASSERT_TRUE(executor.running.contains(order.run));
+    replace_agent();
+    auto late_order = make_order(1);
+    late_order.executor = {"i-1", 100};
+    put_order(late_order);
+    agent->start();
+    announce_executor("i-9", 50);
+    timers.advance(2s);
+    EXPECT_TRUE(executor.running.contains(order.run));
+    for (auto const& ended : report().ended)
+        EXPECT_NE(ended.run, order.run);
+}
+
 // Guards against leases that expire because heartbeats of another program
 // arrive faster than the executor answers.
 TEST_F(agent_service_test, extends_its_lease_in_spite_of_many_announcements)
