scheduler: Conclude no end from the first report after a takeover

Callers would see a task that runs twice: the start time of an executor has gone back, a decider takes over, and the report that it reads is that of the predecessor.

Cause: a report of an incarnation with a later start than the ordered one counted as proof that the ordered one had ended. A report that is read at a takeover may be older than the stored orders. Found by a reviewer.

Change: start times are compared only in reports of an executor that the decider has seen replace another one. Agents list the runs of incarnations that have ended, and report a successor only then, so that nothing waits for the comparison.

Ruled out: no comparison at all; four tests of the decider rely on it for agents that do not list these ends.

--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -132,6 +132,8 @@
     if (view.report.worker.executor != report.worker.executor) {
         statistics_.discard_worker(agent);
     }
+    if (view.first_executor.id.empty())
+        view.first_executor = report.worker.executor;
     view.report = std::move(report);
     view.last_report_at = now;
     record_running(view.report, now);
@@ -175,6 +177,10 @@
     bool const has_executor_ended =
         report.worker.state == jobs::worker_state::gone;
     auto const& current_executor = report.worker.executor;
+    // The first report may be older than the orders that the decider before has
+    // stored, and the time of day may have been set back since.
+    bool const has_changed =
+        current_executor != workers_.at(report.agent).first_executor;
     for (auto const& task : runs_by_agent_.tasks_of(report.agent)) {
         auto& job = jobs_.at(task.job_id);
         auto const run = job.assignments.find(task);
@@ -183,7 +189,7 @@
             end_recorder_.record(job, run, end->second->end,
                                  end->second->checkpoint, now);
         } else if ((has_executor_ended && order.executor == current_executor) ||
-                   current_executor.replaces(order.executor)) {
+                   (has_changed && current_executor.replaces(order.executor))) {
             end_recorder_.record(job, run, jobs::run_end::lost, {}, now);
         }
     }
--- a/packages/scheduler/worker_view.hpp
+++ b/packages/scheduler/worker_view.hpp
@@ -16,6 +16,8 @@
     /// When it arrived. For one read from the store at a takeover: when it was
     /// written.
     core::time_point last_report_at{};
+    /// The executor in the first report that the decider has received.
+    jobs::incarnation first_executor;
 };
 
 /// An agent whose runs were taken as lapsed, since it had not reported for too
--- a/tests/scheduler/scheduler_core_test.cpp
+++ b/tests/scheduler/scheduler_core_test.cpp
@@ -775,5 +775,25 @@
     EXPECT_TRUE(core_.jobs().empty());
 }
 
+// Guards against a second run after a takeover: a stored order names an
+// incarnation whose start time has gone back, and the report that is read is
+// that of its predecessor.
+TEST_F(scheduler_core_test, keeps_orders_for_a_start_time_that_has_gone_back)
+{
+    core_.add_submission(make_job("j", 1, 1), now_);
+    jobs::job_progress progress;
+    progress.has_started = true;
+    progress.occurrences[0].steps = {{{false, 0, 1, ""}}};
+    core_.restore_progress("j", progress, now_);
+    jobs::run_order order;
+    order.agent = "a";
+    order.executor = {"i-a", 50};
+    order.run = {{"j", 0, 0, 0}, 1};
+    core_.restore_order(order, now_);
+    add_worker("a", 100);
+    EXPECT_TRUE(decide_starts().empty());
+    EXPECT_EQ(core_.jobs().at("j").assignments.size(), 1U);
+}
+
 } // namespace
 } // namespace sequoiaroute::scheduler
