scheduler: Take runs of an agent without a report as lapsed

Callers would see a task, and its gang, that never starts again after a takeover, until another takeover or until its agent returns.

Cause: only a known report showed how long an agent has been silent. A decider that takes over may know none: the report cannot be read, or a stale list of parts lacks it, and the agent has ended.

Change: without a report the silence counts from the moment when the order was restored. That is sound, since the feed has been confirmed since then, and the agent has stored no report.

Ruled out: naming the 64 parts of reports, which costs as many reads per takeover and does not help with a report that cannot be read.

--- a/packages/scheduler/decider_service.cpp
+++ b/packages/scheduler/decider_service.cpp
@@ -122,8 +122,8 @@
                                      core::duration(1000),
                                      report_batch_delay,
                                      {},
-                                     // Agents rewrite their reports, so that
-                                     // the feed delivers what a list lacks.
+                                     // Agents rewrite their reports, and one
+                                     // that does not counts as silent.
                                      {}},
         [this](rows::row const& changed) { observe_report(changed, false); },
         [this] { schedule_round(); });
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -260,7 +260,8 @@
             auto const current = run++;
             if (!has_lease_expired(current->second, time))
                 continue;
-            add_lost_agent(current->second.order.agent, time);
+            add_lost_agent(current->second.order.agent,
+                           silence_of(current->second, time));
             end_recorder_.record(job, current, jobs::run_end::lapsed, {},
                                  time.now);
         }
@@ -268,16 +269,13 @@
 }
 
 void scheduler_core::add_lost_agent(std::string const& agent,
-                                    decision_time const& time)
+                                    core::duration silence)
 {
     auto known = std::find_if(
         lost_agents_.begin(), lost_agents_.end(),
         [&](lost_agent const& lost) { return lost.agent == agent; });
-    if (known == lost_agents_.end()) {
-        auto const silence =
-            time.reports_confirmed_at - workers_.at(agent).last_report_at;
+    if (known == lost_agents_.end())
         known = lost_agents_.insert(known, {agent, silence, 0});
-    }
     ++known->lapsed_runs;
 }
 
@@ -285,11 +283,19 @@
 /// executor may be cut off from theirs, and runs on until the lease expires.
 bool scheduler_core::has_lease_expired(assignment const& run,
                                        decision_time const& time) const
+{
+    return silence_of(run, time) > limits_.lost_after;
+}
+
+core::duration scheduler_core::silence_of(assignment const& run,
+                                          decision_time const& time) const
 {
     auto const worker = workers_.find(run.order.agent);
-    return worker != workers_.end() &&
-           time.reports_confirmed_at - worker->second.last_report_at >
-               limits_.lost_after;
+    // Without a report, the agent has stored none since the order was restored.
+    auto const last_sign = worker == workers_.end()
+                               ? run.ordered_at
+                               : worker->second.last_report_at;
+    return time.reports_confirmed_at - last_sign;
 }
 
 void scheduler_core::open_due_occurrences(open_job& job, std::int64_t unix_ms)
--- a/packages/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/scheduler_core.hpp
@@ -147,7 +147,10 @@
 
     /// Records the ends of runs whose workers are lost.
     void record_lapsed_runs(decision_time const& time);
-    void add_lost_agent(std::string const& agent, decision_time const& time);
+    void add_lost_agent(std::string const& agent, core::duration silence);
+    /// @return how long the agent of a run has not reported
+    core::duration silence_of(assignment const& run,
+                              decision_time const& time) const;
     /// Adds the progress of occurrences that have become due.
     void open_due_occurrences(open_job& job, std::int64_t unix_ms);
     /// Moves occurrences whose tasks are all done to the finished ones.
--- a/tests/scheduler/decider_service_test.cpp
+++ b/tests/scheduler/decider_service_test.cpp
@@ -47,7 +47,11 @@
     entry(memory_row_store& store, support::manual_timers& timers,
           std::string name)
         : work_(store, timers,
-                {std::string(rows::layout::work_table), 500ms, 0ms, {}, {}},
+                {std::string(rows::layout::work_table),
+                 500ms,
+                 0ms,
+                 {},
+                 rows::layout::work_parts()},
                 [this](rows::row const& changed) { decider.observe(changed); }),
           decider(store, timers, work_,
                   [] { return std::make_shared<jobs::rules const>(); },
@@ -634,5 +638,32 @@
               jobs::job_state::cancelled);
 }
 
+// Guards against a run that never starts again: its agent has ended, and the
+// first list of parts that the next decider reads lacks that of its report.
+TEST_F(decider_service_test, restarts_runs_of_an_agent_that_a_stale_list_lacks)
+{
+    add_job("j");
+    store.keep_state_for_stale_reads();
+    add_worker("a");
+    {
+        entry first(store, timers, "one");
+        timers.advance(1s);
+        ASSERT_TRUE(order("j"));
+    }
+    store.are_part_lists_stale = true;
+    entry second(store, timers, "two");
+    timers.advance(10s);
+    ASSERT_TRUE(second.decider.is_decider());
+    store.are_part_lists_stale = false;
+    auto const next_run =
+        rows::layout::order_row("b", to_text(jobs::run_id{{"j", 0, 0, 0}, 2}));
+    for (auto waited = 0s; waited < 60s && !store.find(next_run);
+         waited += 1s) {
+        add_worker("b");
+        timers.advance(1s);
+    }
+    EXPECT_TRUE(store.find(next_run));
+}
+
 } // namespace
 } // namespace sequoiaroute::scheduler
--- a/tests/scheduler/scheduler_core_test.cpp
+++ b/tests/scheduler/scheduler_core_test.cpp
@@ -795,5 +795,27 @@
     EXPECT_EQ(core_.jobs().at("j").assignments.size(), 1U);
 }
 
+// Guards against a run that never starts again after a takeover: the decider
+// knows no report of its agent, which has ended.
+TEST_F(scheduler_core_test, takes_runs_of_an_agent_without_a_report_as_lapsed)
+{
+    core_.add_submission(make_job("j", 1, 1), now_);
+    jobs::run_order order;
+    order.agent = "a";
+    order.executor = {"i-a", 1};
+    order.run = {{"j", 0, 0, 0}, 1};
+    core_.restore_order(order, now_);
+    add_worker("b");
+    EXPECT_TRUE(decide_starts().empty());
+    now_ += 17s;
+    core_.receive_report(reports_.at("b"), now_);
+    EXPECT_TRUE(decide_starts().empty());
+    now_ += 2s;
+    core_.receive_report(reports_.at("b"), now_);
+    auto const restarted = decide_starts();
+    ASSERT_EQ(restarted.size(), 1U);
+    EXPECT_EQ(restarted[0].run.run, 2);
+}
+
 } // namespace
 } // namespace sequoiaroute::scheduler
