decider: Repeat a failed renewal with the next check

Change: the period counts from the last successful renewal, so that a failed one is repeated with the next check.

Ruled out: a longer lifetime, which would delay all takeovers.

--- a/packages/decider/decider_lease.cpp
+++ b/packages/decider/decider_lease.cpp
@@ -58,7 +58,7 @@
 bool decider_lease::is_renewed(core::time_point now) const
 {
     return state() != lease_state::follower &&
-           now - written_at_ < renewal_period;
+           now - renewed_at_ < renewal_period;
 }
 
 void decider_lease::handle_row(platform::row const& row, core::time_point now)
@@ -107,7 +107,6 @@
 void decider_lease::write(platform::row const& row, lease_record const& next,
                           core::time_point started)
 {
-    written_at_ = started;
     auto const outcome = write_if_unchanged(rows_, row, next);
     if (core::code_of(outcome) == result_code::conflict) {
         step_down();
@@ -124,6 +123,7 @@
         return;
     }
     set_held(core::value(written).version, core::value(parsed));
+    renewed_at_ = started;
     std::lock_guard const lock(mutex_);
     // The lifetime starts before the write was sent, because other entries
     // measure it from the change of the row, which is later.
--- a/packages/decider/decider_lease.hpp
+++ b/packages/decider/decider_lease.hpp
@@ -111,8 +111,9 @@
     core::clock const& clock_;
     peers::entry_record const self_;
     std::mutex tick_mutex_; ///< serialises tick() and release()
-    /// When the last renewal or takeover began; guarded by tick_mutex_.
-    core::time_point written_at_;
+    /// When the last successful renewal or takeover began; guarded by
+    /// tick_mutex_.
+    core::time_point renewed_at_;
     mutable std::mutex mutex_; ///< guards the members below
     bool is_held_ = false;
     std::uint64_t version_ = 0;     ///< row version of the held lease
--- a/tests/decider/decider_lease_test.cpp
+++ b/tests/decider/decider_lease_test.cpp
@@ -5,11 +5,46 @@
 
 #include <gtest/gtest.h>
 
+#include <functional>
+#include <utility>
+
 namespace sequoiaroute::decider {
 namespace {
 
 using namespace std::chrono_literals;
 
+/// A table whose next read takes time, and whose commits can be refused.
+class slow_table final : public platform::table
+{
+public:
+    explicit slow_table(platform::table& rows) : rows_(rows) {}
+
+    core::result<platform::row> read(std::string_view key) override
+    {
+        if (before_read)
+            std::exchange(before_read, nullptr)();
+        return rows_.read(key);
+    }
+    core::result<std::vector<platform::row>>
+    scan(std::string_view prefix) override
+    {
+        return rows_.scan(prefix);
+    }
+    core::status commit(std::span<platform::row_condition const> conditions,
+                        std::span<platform::row_write const> writes) override
+    {
+        if (refuses_commits)
+            return core::error{core::result_code::store_unavailable, "busy"};
+        return rows_.commit(conditions, writes);
+    }
+
+    std::function<void()> before_read; ///< called once
+    bool refuses_commits = false;
+
+private:
+    platform::table& rows_;
+};
+
 struct decider_lease_test : testing::Test
 {
     /// Advances the clock in renewal periods while the given entries tick.
@@ -125,5 +160,25 @@
     EXPECT_EQ(b.term(), 2U);
 }
 
+// Guards against a holder that loses the lease after a short refusal of
+// writes because it repeats a failed renewal only after a renewal period.
+TEST_F(decider_lease_test, repeats_a_failed_renewal_at_the_next_check)
+{
+    slow_table slow(table);
+    platform::recovering_writer rows_c{
+        slow, {.incarnation = "c", .time_limit = 10ms, .retry_delay = 1ms}};
+    decider_lease c{rows_c, clock, {"c", "c.1", "3:3", "", ""}};
+    c.tick();
+    auto const acquired = core::value(rows_a.read(decider_lease::row_key));
+    clock.advance(decider_lease::renewal_period);
+    slow.refuses_commits = true;
+    c.tick();
+    slow.refuses_commits = false;
+    clock.advance(decider_lease::check_period);
+    c.tick();
+    auto const renewed = core::value(rows_a.read(decider_lease::row_key));
+    EXPECT_GT(renewed.version, acquired.version);
+}
+
 } // namespace
 } // namespace sequoiaroute::decider
