decider: Count the wait for a takeover from the answer of a read

Callers would see two entries that hold the decider's lease at once, for as long as a read takes. Writes of jobs depend on the version of the lease row, so that one of them fails; whether commands to agents are protected as well was not examined.

Cause: the wait counted from the beginning of the read whose answer showed the last renewal, which may have come later.

Change: the wait counts from the answer.

Ruled out: a margin for slow reads, which have no bound.

--- a/packages/decider/decider_lease.cpp
+++ b/packages/decider/decider_lease.cpp
@@ -99,7 +99,8 @@
     last_read_at_ = now;
     if (is_wait_restarted) {
         observed_version_ = row.version;
-        version_unchanged_since_ = now;
+        // The answer may show a renewal that came after the read had begun.
+        version_unchanged_since_ = clock_.now();
     }
     return record.holder.empty() || now - version_unchanged_since_ >= lifetime;
 }
--- a/tests/decider/decider_lease_test.cpp
+++ b/tests/decider/decider_lease_test.cpp
@@ -180,5 +180,29 @@
     EXPECT_GT(renewed.version, acquired.version);
 }
 
+// Guards against two entries that hold the lease at the same time: the row is
+// renewed while a follower waits for the answer to its read, and the follower
+// counts its wait from the beginning of the read.
+TEST_F(decider_lease_test, waits_from_the_answer_that_shows_a_renewal)
+{
+    slow_table slow(table);
+    platform::recovering_writer rows_c{
+        slow, {.incarnation = "c", .time_limit = 10ms, .retry_delay = 1ms}};
+    decider_lease c{rows_c, clock, {"c", "c.1", "3:3", "", ""}};
+    a.tick();
+    c.tick();
+    clock.advance(500ms);
+    slow.before_read = [this] {
+        clock.advance(1s);
+        a.tick();
+    };
+    c.tick();
+    while (c.state() == lease_state::follower) {
+        clock.advance(decider_lease::check_period);
+        c.tick();
+    }
+    EXPECT_NE(a.state(), lease_state::holding);
+}
+
 } // namespace
 } // namespace sequoiaroute::decider
