soak: Limit entries and agents to a share of a core

On the users' machines entries have 0.12 to 0.25 of a core and agents 0.15, so that processes run late rather than not at all. A process that a fault freezes stays stopped until the fault ends, and one that is told to stop between two turns receives the signal when its next turn begins. The limit permits no broken responses: that check stays as strict as it was.

--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -1,4 +1,5 @@
 #include "soak/fault_injector.hpp"
+#include "soak/processor_limiter.hpp"
 #include "soak/timeline_check.hpp"
 
 #include <chrono>
@@ -30,6 +31,8 @@
 ABSL_FLAG(int, lease_ms, 2000, "the longest lease that executors grant");
 ABSL_FLAG(int, stop_ms, 300, "the longest time that executors take for a stop");
 ABSL_FLAG(int, work_ms, 2500, "the longest work time of a task");
+ABSL_FLAG(double, processor_share, 1,
+          "the share of a core that each entry and agent gets; 1: no limit");
 ABSL_FLAG(double, wide_jobs, 0,
           "share of the jobs that have hundreds of short tasks");
 ABSL_FLAG(double, gangs, 0.4, "share of the other jobs whose steps are gangs");
@@ -96,6 +99,7 @@
              std::filesystem::path directory)
         : loop_(loop), system_(std::move(system)),
           fault_injector_(loop, random, *system_, faults),
+          processor_limiter_(loop, absl::GetFlag(FLAGS_processor_share)),
           directory_(std::move(directory))
     {
     }
@@ -104,6 +108,7 @@
     /// @return whether all invariants held
     bool run()
     {
+        limit_processors();
         auto const tick_timer = loop_.every(tick_period, [this] { tick(); });
         auto const load_timer = loop_.after(startup_time, [this] {
             system_->customers().start();
@@ -121,6 +126,18 @@
     }
 
 private:
+    void limit_processors()
+    {
+        std::vector<soak::processor_limiter::set_stopped_function> processes;
+        for (auto* const group : {&system_->entries(), &system_->agents()}) {
+            for (auto& target : *group)
+                processes.emplace_back([this, &target](bool is_stopped) {
+                    system_->set_waiting_for_turn(target, is_stopped);
+                });
+        }
+        processor_limiter_.start(std::move(processes));
+    }
+
     /// Ends the run once all jobs have ended, or their time limit has passed.
     void tick()
     {
@@ -180,6 +197,7 @@
     event::event_loop& loop_;
     std::unique_ptr<soak::test_system> system_;
     soak::fault_injector fault_injector_;
+    soak::processor_limiter processor_limiter_;
     std::filesystem::path directory_;
     std::optional<core::time_point> healed_at_;
     /// When an accepted job was last seen not to have ended.
@@ -205,6 +223,10 @@
             "cut_off_workers, executors, processes, machines or mixed\n");
         return EXIT_FAILURE;
     }
+    if (absl::GetFlag(FLAGS_processor_share) <= 0) {
+        fmt::print("--processor_share must be greater than 0\n");
+        return EXIT_FAILURE;
+    }
     auto const directory = make_directory();
     auto const seed = absl::GetFlag(FLAGS_seed);
     soak::random_source random(seed);
--- a/tests/soak/test_system.cpp
+++ b/tests/soak/test_system.cpp
@@ -265,6 +265,7 @@
     processes_.start(target.name, target.arguments);
     target.is_running = true;
     target.is_frozen = false;
+    target.is_waiting_for_turn = false;
     target.is_stopping = false;
 }
 
@@ -282,7 +283,8 @@
     if (!target.is_running || target.is_frozen)
         return;
     expect_broken_responses(target);
-    processes_.freeze(target.name);
+    if (!target.is_waiting_for_turn)
+        processes_.freeze(target.name);
     target.is_frozen = true;
 }
 
@@ -291,10 +293,23 @@
     if (!target.is_running || !target.is_frozen)
         return;
     expect_broken_responses(target);
-    processes_.thaw(target.name);
+    if (!target.is_waiting_for_turn)
+        processes_.thaw(target.name);
     target.is_frozen = false;
 }
 
+void test_system::set_waiting_for_turn(system_process& target, bool is_waiting)
+{
+    if (!target.is_running || target.is_waiting_for_turn == is_waiting)
+        return;
+    target.is_waiting_for_turn = is_waiting;
+    if (target.is_frozen)
+        return;
+    // Not process_set::freeze(): the process may have ended since the last
+    // tick(), and the stop need not have taken effect on return.
+    processes_.send_signal(target.name, is_waiting ? SIGSTOP : SIGCONT);
+}
+
 void test_system::terminate(system_process& target)
 {
     if (!target.is_running || target.is_frozen)
--- a/tests/soak/test_system.hpp
+++ b/tests/soak/test_system.hpp
@@ -25,6 +25,7 @@
     std::unique_ptr<store_server> store;
     bool is_running = false;
     bool is_frozen = false;
+    bool is_waiting_for_turn = false; ///< stopped by the processor limiter
     bool is_stopping = false;
     /// Until when a fault may cause its responses to break off.
     core::time_point broken_responses_allowed_until{};
@@ -80,12 +81,17 @@
     void start(system_process& target);
     /// Sends SIGKILL; does nothing if the process isn't running.
     void kill(system_process& target);
-    /// Sends SIGSTOP.
+    /// Sends SIGSTOP, unless the process is waiting for its turn.
     void freeze(system_process& target);
-    /// Sends SIGCONT.
+    /// Sends SIGCONT, unless the process is waiting for its turn.
     void thaw(system_process& target);
+    /// Stops a process until its next turn on the processor, or begins this
+    /// turn. A frozen process stays stopped until it is thawed. Responses must
+    /// not break off because of this.
+    void set_waiting_for_turn(system_process& target, bool is_waiting);
     /// Starts a graceful stop (SIGTERM), unless the process is frozen. tick()
-    /// detects its end.
+    /// detects its end. A process that is waiting for its turn receives the
+    /// signal when the turn begins.
     void terminate(system_process& target);
 
     /// Writes a new version of the rules to the store.
