agents, decider: Set up orders and a disturbed entry once in the tests

Ten tests of the agent made an order and then replaced its executor, and two tests of the lease built the same entry on a slow table. make_order() takes the executor now, and the fixture has the entry.

--- a/tests/agents/agent_service_test.cpp
+++ b/tests/agents/agent_service_test.cpp
@@ -163,11 +163,12 @@
         agent->receive_heartbeat(worker, 1);
     }
 
-    static jobs::run_order make_order(std::int32_t index)
+    static jobs::run_order make_order(std::int32_t index,
+                                      jobs::incarnation executor = {"i-1", 1})
     {
         jobs::run_order order;
         order.agent = "a";
-        order.executor = {"i-1", 1};
+        order.executor = std::move(executor);
         order.run = {{"j", 0, 0, index}, 1};
         order.payload = "p";
         return order;
@@ -431,8 +432,7 @@
 // incarnation than the last report does, and that incarnation has ended too.
 TEST_F(agent_service_test, detects_the_end_of_an_incarnation_known_from_orders)
 {
-    auto order = make_order(0);
-    order.executor = {"i-1", 7};
+    auto const order = make_order(0, {"i-1", 7});
     put_order(order);
     executor.is_refusing = true;
     agent->start();
@@ -786,8 +786,7 @@
     while (report().worker.executor.id != "i-9")
         timers.advance(1ms);
     auto const adopted_at = timers.now();
-    auto order = make_order(0);
-    order.executor = {"i-9", 5};
+    auto const order = make_order(0, {"i-9", 5});
     put_order(order);
     timers.advance(100ms);
     ASSERT_TRUE(executor.running.contains(order.run));
@@ -1149,8 +1148,7 @@
 {
     executor.born_ms = 100;
     begin_with_start_time(100);
-    auto order = make_order(0);
-    order.executor.born_ms = 100;
+    auto const order = make_order(0, {"i-1", 100});
     put_order(order);
     timers.advance(100ms);
     ASSERT_TRUE(executor.running.contains(order.run));
@@ -1171,8 +1169,7 @@
 {
     executor.born_ms = 100;
     begin_with_start_time(100);
-    auto order = make_order(0);
-    order.executor.born_ms = 100;
+    auto const order = make_order(0, {"i-1", 100});
     put_order(order);
     timers.advance(100ms);
     replace_agent();
@@ -1192,8 +1189,7 @@
 {
     executor.born_ms = 100;
     begin_with_start_time(100);
-    auto order = make_order(0);
-    order.executor.born_ms = 100;
+    auto const order = make_order(0, {"i-1", 100});
     put_order(order);
     timers.advance(100ms);
     heartbeat(jobs::worker_state::draining, 50);
@@ -1215,8 +1211,7 @@
     executor.born_ms = 50;
     heartbeat(jobs::worker_state::ready, 50);
     timers.advance(500ms);
-    auto order = make_order(0);
-    order.executor.born_ms = 50;
+    auto const order = make_order(0, {"i-1", 50});
     put_order(order);
     timers.advance(100ms);
     ASSERT_TRUE(executor.running.contains(order.run));
@@ -1240,8 +1235,7 @@
     executor.born_ms = 100;
     heartbeat(jobs::worker_state::ready, 100);
     timers.advance(50ms);
-    auto order = make_order(0);
-    order.executor.born_ms = 100;
+    auto const order = make_order(0, {"i-1", 100});
     put_order(order);
     timers.advance(300ms);
     ASSERT_TRUE(executor.running.contains(order.run));
@@ -1310,8 +1304,7 @@
     executor.born_ms = 100;
     begin_with_start_time(100);
     executor.born_ms = 50;
-    auto order = make_order(0);
-    order.executor = {"i-9", 50};
+    auto const order = make_order(0, {"i-9", 50});
     put_order(order);
     executor.running[order.run] = order;
     replace_agent();
@@ -1330,8 +1323,7 @@
     executor.born_ms = 100;
     begin_with_start_time(100);
     executor.born_ms = 50;
-    auto order = make_order(0);
-    order.executor = {"i-1", 50};
+    auto const order = make_order(0, {"i-1", 50});
     put_order(order);
     executor.running[order.run] = order;
     replace_agent();
@@ -1353,14 +1345,12 @@
     announce_executor("i-9", 50);
     timers.advance(1s);
     ASSERT_EQ(report().worker.executor.id, "i-9");
-    auto order = make_order(0);
-    order.executor = {"i-9", 50};
+    auto const order = make_order(0, {"i-9", 50});
     put_order(order);
     timers.advance(200ms);
     ASSERT_TRUE(executor.running.contains(order.run));
     replace_agent();
-    auto late_order = make_order(1);
-    late_order.executor = {"i-1", 100};
+    auto const late_order = make_order(1, {"i-1", 100});
     put_order(late_order);
     agent->start();
     announce_executor("i-9", 50);
--- a/tests/decider/decider_lease_test.cpp
+++ b/tests/decider/decider_lease_test.cpp
@@ -66,6 +66,11 @@
         table, {.incarnation = "b", .time_limit = 10ms, .retry_delay = 1ms}};
     decider_lease a{rows_a, clock, {"a", "a.1", "1:1", "", ""}};
     decider_lease b{rows_b, clock, {"b", "b.1", "2:2", "", ""}};
+    /// An entry whose calls to the table can be disturbed.
+    slow_table slow{table};
+    platform::recovering_writer rows_c{
+        slow, {.incarnation = "c", .time_limit = 10ms, .retry_delay = 1ms}};
+    decider_lease c{rows_c, clock, {"c", "c.1", "3:3", "", ""}};
 };
 
 // Guards against a failed decider that is not replaced within 2.5 s.
@@ -164,10 +169,6 @@
 // writes because it repeats a failed renewal only after a renewal period.
 TEST_F(decider_lease_test, repeats_a_failed_renewal_at_the_next_check)
 {
-    slow_table slow(table);
-    platform::recovering_writer rows_c{
-        slow, {.incarnation = "c", .time_limit = 10ms, .retry_delay = 1ms}};
-    decider_lease c{rows_c, clock, {"c", "c.1", "3:3", "", ""}};
     c.tick();
     auto const acquired = core::value(rows_a.read(decider_lease::row_key));
     clock.advance(decider_lease::renewal_period);
@@ -185,10 +186,6 @@
 // counts its wait from the beginning of the read.
 TEST_F(decider_lease_test, waits_from_the_answer_that_shows_a_renewal)
 {
-    slow_table slow(table);
-    platform::recovering_writer rows_c{
-        slow, {.incarnation = "c", .time_limit = 10ms, .retry_delay = 1ms}};
-    decider_lease c{rows_c, clock, {"c", "c.1", "3:3", "", ""}};
     a.tick();
     c.tick();
     clock.advance(500ms);
