scheduler: Count only accepting workers for the headroom of urgent work

Cause: the headroom is a quarter of a service's accelerators at most, but workers that are gone, leaving or silent counted as well.

Change: the workers of a round are collected first, and the capacity is that of those that accept runs, so that one function says what counts as room.

Result: the new test fails before (0 of 1 starts) and passes now.

--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -405,7 +405,10 @@
         collect_waiting_groups(jobs_, *rules_, statistics_.run_times, now);
     if (waiting.empty())
         return;
-    apply_urgent_headroom(waiting, now);
+    auto const workers =
+        collect_workers(workers_, jobs_, statistics_.health, statistics_.speed,
+                        now, limits_.report_freshness_limit);
+    apply_urgent_headroom(waiting, workers, now);
     // Only urgent groups may preempt others.
     bool const can_preempt =
         std::any_of(waiting.begin(), waiting.end(), [](auto const& tasks) {
@@ -421,9 +424,6 @@
     running_groups.reserve(running.size());
     for (auto const& tasks : running)
         running_groups.push_back(tasks.group);
-    auto const workers =
-        collect_workers(workers_, jobs_, statistics_.health, statistics_.speed,
-                        now, limits_.report_freshness_limit);
     auto const result =
         placement::run_round(workers, waiting_groups, running_groups);
     std::vector<std::vector<std::string>> agents(waiting.size());
@@ -443,8 +443,11 @@
 
 /// Makes non-urgent groups leave the urgent headroom free, unless waiting could
 /// make them miss their latest start. Groups that have missed it wait as well.
-void scheduler_core::apply_urgent_headroom(std::vector<waiting_tasks>& waiting,
-                                           core::time_point now)
+/// The headroom is a share of the workers that accept runs: if the others
+/// counted, it could exceed all that is left after most workers have gone.
+void scheduler_core::apply_urgent_headroom(
+    std::vector<waiting_tasks>& waiting,
+    std::span<placement::worker const> workers, core::time_point now)
 {
     std::map<std::string, std::int64_t> urgent_accelerators;
     for (auto const& [id, job] : jobs_) {
@@ -462,9 +465,9 @@
         }
     }
     std::map<std::string, std::int64_t> capacity;
-    for (auto const& [agent, view] : workers_) {
-        capacity[view.report.worker.service] +=
-            view.report.worker.capacity.accelerators;
+    for (auto const& worker : workers) {
+        if (worker.is_accepting)
+            capacity[worker.service] += worker.capacity.accelerators;
     }
     for (auto const& [service, accelerators] : capacity)
         urgent_headroom_.observe(service, urgent_accelerators[service], now);
--- a/packages/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/scheduler_core.hpp
@@ -163,6 +163,7 @@
     /// Places waiting tasks, orders their runs and stops preempted ones.
     void place_tasks(core::time_point now);
     void apply_urgent_headroom(std::vector<waiting_tasks>& waiting,
+                               std::span<placement::worker const> workers,
                                core::time_point now);
     bool has_tickets(waiting_tasks const& tasks,
                      std::span<std::string const> agents,
--- a/tests/scheduler/scheduler_core_test.cpp
+++ b/tests/scheduler/scheduler_core_test.cpp
@@ -675,6 +675,26 @@
     EXPECT_EQ(decide_starts().size(), 1U);
 }
 
+// Most executors have left after a burst of urgent work. Guards against a
+// headroom that is a share of the workers that have gone, and so exceeds all
+// that is left: other work then waits although workers are idle.
+TEST_F(scheduler_core_test, counts_only_accepting_workers_for_the_headroom)
+{
+    for (auto const* agent : {"a", "b", "c", "d", "e", "f", "g", "h"})
+        add_worker(agent);
+    add_job("urgent", 2, 8, true, 0);
+    for (auto const& order : decide_starts())
+        report_end(order, jobs::run_end::done);
+    for (auto const* agent : {"c", "d", "e", "f", "g", "h"}) {
+        auto gone = reports_.at(agent);
+        gone.worker.state = jobs::worker_state::gone;
+        core_.receive_report(gone, now_);
+    }
+    now_ += 300ms;
+    add_job("patient", 2, 8);
+    EXPECT_EQ(decide_starts().size(), 1U);
+}
+
 // A third of the workers is slow. Guards against a decider that notices this
 // only when the first tasks have ended, which is too late on a short day.
 TEST_F(scheduler_core_test, derives_the_speed_of_workers_from_progress)
