scheduler, agents: Start nothing in an evacuated data centre

Cause: operators may request that no task starts in a data centre any more, as a row of their table. Nothing read such rows, so that placement went on there.

The decider counts the workers of evacuated data centres as not accepting, which placement, reservations, preemption and the headroom go by. Orders name the latest time at which their runs may start, by the store's clock; agents give up later ones, so that the bound holds however long an order was under way. The decider holds starts while its knowledge is too old for that.

--- a/packages/agents/agent_service.cpp
+++ b/packages/agents/agent_service.cpp
@@ -280,6 +280,8 @@
 void agent_service::advance_runs()
 {
     auto const now = timers_.now();
+    for (auto const& run : tracker_.expire_orders(publisher_.store_time()))
+        core::log_decision("order_expired", {{"run", to_text(run)}});
     for (auto const& action : tracker_.next_actions(now, start_permission(now)))
         send_order(action, now);
     notify_decider();
--- a/packages/agents/report_publisher.hpp
+++ b/packages/agents/report_publisher.hpp
@@ -74,6 +74,13 @@
     /// with each report.
     jobs::worker_report complete(jobs::worker_report report);
 
+    /// @return the time of the store's clock, never earlier than the true one;
+    ///         zero before load() has read a report
+    core::duration store_time() const
+    {
+        return store_clock_.time(timers_.now());
+    }
+
     /// @return whether a report is to be stored now: one is missing or
     ///         outdated, or the report period has passed
     bool is_due() const;
--- a/packages/agents/run_tracker.cpp
+++ b/packages/agents/run_tracker.cpp
@@ -98,7 +98,27 @@
 bool run_tracker::needs_stop(tracked_run const& tracked) const
 {
     return tracked.order.is_stop_requested || tracked.is_start_abandoned ||
-           is_outdated(tracked);
+           tracked.has_expired || is_outdated(tracked);
+}
+
+bool run_tracker::awaits_start(tracked_run const& tracked)
+{
+    return !tracked.ended && !tracked.running && !tracked.start_confirmed_at &&
+           !tracked.is_call_pending && !tracked.awaits_snapshot;
+}
+
+std::vector<jobs::run_id> run_tracker::expire_orders(core::duration store_time)
+{
+    std::vector<jobs::run_id> expired;
+    for (auto& [run, tracked] : runs_) {
+        auto const deadline = tracked.order.start_deadline;
+        if (deadline == core::duration(0) || store_time <= deadline ||
+            needs_stop(tracked) || !awaits_start(tracked))
+            continue;
+        tracked.has_expired = true;
+        expired.push_back(run);
+    }
+    return expired;
 }
 
 void run_tracker::receive_snapshot(executor_snapshot const& snapshot,
--- a/packages/agents/run_tracker.hpp
+++ b/packages/agents/run_tracker.hpp
@@ -84,6 +84,13 @@
         is_executor_confirmed_ = is_confirmed;
     }
 
+    /// Gives up runs that have not started by the deadlines of their orders.
+    /// They end as stopped, and are not started any more.
+    /// @param store_time the current time, by the store's clock; not earlier
+    ///        than the true one
+    /// @return the runs that have been given up
+    std::vector<jobs::run_id> expire_orders(core::duration store_time);
+
     /// Updates all runs from a snapshot of the executor.
     /// @param snapshot a snapshot with `is_ok`
     /// @param requested_at when it was requested; runs whose start or stop was
@@ -159,6 +166,7 @@
         /// stop then prevents earlier starts from taking effect late, and the
         /// next snapshot shows whether the run has ended.
         bool is_start_abandoned = false;
+        bool has_expired = false; ///< not started by its deadline
         std::optional<jobs::active_run> running;
         std::optional<jobs::ended_run> ended;
         bool is_end_listed = false; ///< the executor has listed the end
@@ -172,6 +180,8 @@
     ///         running
     bool is_outdated(tracked_run const& tracked) const;
     bool needs_stop(tracked_run const& tracked) const;
+    /// @return whether the next call for the run may be its start
+    static bool awaits_start(tracked_run const& tracked);
     /// @return whether the run was ordered for an incarnation that the current
     ///         one has replaced, also if its start time is later
     bool is_replaced(tracked_run const& tracked) const;
--- a/packages/jobs/row_codec.cpp
+++ b/packages/jobs/row_codec.cpp
@@ -336,6 +336,8 @@
         document["filler"] = true;
     if (!value.session.empty())
         document["session"] = value.session;
+    if (value.start_deadline > core::duration(0))
+        document["start_deadline_ms"] = value.start_deadline.count();
     return dump(document);
 }
 
@@ -355,6 +357,8 @@
             core::duration_field(document, "response_target_ms");
         value.is_filler = document.value("filler", false);
         value.session = document.value("session", "");
+        value.start_deadline =
+            core::duration_field(document, "start_deadline_ms");
         return value;
     });
 }
--- a/packages/jobs/worker_report.hpp
+++ b/packages/jobs/worker_report.hpp
@@ -141,6 +141,9 @@
     /// The session of the agent for which the run was placed. The agent starts
     /// no run of an earlier session. Empty if the decider knew none.
     std::string session;
+    /// The latest time, by the store's clock, at which the run may start; zero
+    /// for no limit.
+    core::duration start_deadline{0};
 };
 
 } // namespace sequoiaroute::jobs
--- a/packages/programs/explain_command.cpp
+++ b/packages/programs/explain_command.cpp
@@ -5,9 +5,12 @@
 
 #include <algorithm>
 #include <fstream>
+#include <map>
+#include <optional>
 #include <set>
 
 #include <fmt/format.h>
+#include <fmt/ranges.h>
 
 namespace sequoiaroute::programs {
 
@@ -15,6 +18,9 @@
 
 using core::json;
 
+/// Shorter waits occur for every job and are not explained.
+constexpr std::int64_t min_reported_wait_ms = 100;
+
 struct log_record
 {
     job_event event;
@@ -125,6 +131,96 @@
     return gaps;
 }
 
+/// @return whether a record is of this event
+auto is_event(std::string_view name)
+{
+    return
+        [name](log_record const& record) { return record.event.event == name; };
+}
+
+/// The time from which the decider could have placed a job until it did.
+struct placement_wait
+{
+    std::int64_t begin_ms = 0;
+    std::int64_t end_ms = 0;
+};
+
+std::optional<placement_wait>
+find_placement_wait(std::span<log_record const> records)
+{
+    auto const queued =
+        std::find_if(records.begin(), records.end(), is_event("job_queued"));
+    if (queued == records.end())
+        return std::nullopt;
+    auto const ordered =
+        std::find_if(records.begin(), records.end(), is_event("run_ordered"));
+    auto const end = ordered == records.end() ? records.back() : *ordered;
+    return placement_wait{queued->event.time_ms, end.event.time_ms};
+}
+
+/// The evacuation of one data centre, as the entries logged it.
+struct evacuation_record
+{
+    std::int64_t requested_ms = 0; ///< last time before the end of a wait
+    std::int64_t withdrawn_ms = 0; ///< last time; 0 if it was not withdrawn
+};
+
+/// @return the evacuations that were requested before the end of a wait, by
+///         data centre
+std::map<std::string, evacuation_record>
+find_evacuations(placement_wait const& wait, std::span<std::string const> lines)
+{
+    std::map<std::string, evacuation_record> found;
+    for (auto const& text : lines) {
+        auto const begin = text.find('{');
+        if (begin == std::string::npos ||
+            text.find("\"evacuation_") == std::string::npos)
+            continue;
+        auto const parsed =
+            core::parse_json(std::string_view(text).substr(begin));
+        if (!core::is_ok(parsed) || !core::value(parsed).is_object())
+            continue;
+        auto const& line = core::value(parsed);
+        auto const event = to_job_event(line);
+        auto& record =
+            found[core::valid_field_or(line, "data_centre", std::string())];
+        if (event.event == "evacuation_withdrawn")
+            record.withdrawn_ms = std::max(record.withdrawn_ms, event.time_ms);
+        else if (event.time_ms < wait.end_ms)
+            record.requested_ms = std::max(record.requested_ms, event.time_ms);
+    }
+    std::erase_if(
+        found, [](auto const& item) { return item.second.requested_ms == 0; });
+    return found;
+}
+
+/// @return the data centres that were evacuated at some time of the wait
+std::vector<std::string> evacuated_during(placement_wait const& wait,
+                                          std::span<std::string const> lines)
+{
+    std::vector<std::string> names;
+    for (auto const& [name, record] : find_evacuations(wait, lines)) {
+        bool const was_over = record.withdrawn_ms > record.requested_ms &&
+                              record.withdrawn_ms < wait.begin_ms;
+        if (!was_over)
+            names.push_back(name);
+    }
+    return names;
+}
+
+std::string describe_evacuations(std::span<log_record const> records,
+                                 std::span<std::string const> lines)
+{
+    auto const wait = find_placement_wait(records);
+    if (!wait || wait->end_ms - wait->begin_ms < min_reported_wait_ms)
+        return {};
+    auto const names = evacuated_during(*wait, lines);
+    if (names.empty())
+        return {};
+    return fmt::format("evacuated while it waited for its first run: {}\n",
+                       fmt::join(names, ", "));
+}
+
 } // namespace
 
 std::string explain(std::string_view job_id, std::span<std::string const> lines)
@@ -148,7 +244,8 @@
             fmt::format("lost {:.3f} s: {}\n",
                         static_cast<double>(loss.lost_ms) / 1000, loss.cause);
     }
-    return timeline + describe_gaps(records);
+    return timeline + describe_evacuations(records, lines) +
+           describe_gaps(records);
 }
 
 core::status run_explain(std::vector<std::string> const& operands)
--- a/packages/programs/schedule_entry.cpp
+++ b/packages/programs/schedule_entry.cpp
@@ -14,12 +14,12 @@
 #include "jobs/lease_timing.hpp"
 #include "metrics/metrics.hpp"
 #include "notices/http_notices.hpp"
+#include "operator_table.hpp"
 #include "programs/metrics_server.hpp"
 #include "rows/monitored_store.hpp"
 #include "rows/row_layout.hpp"
 #include "scheduler/decider_service.hpp"
 #include "store_client.hpp"
-#include "store_rules_source.hpp"
 
 #include <csignal>
 
@@ -61,6 +61,7 @@
         {"bounds", "stop", setting_type::time, "1s", false},
         {"bounds", "grace", setting_type::time, "6s", false},
         {"bounds", "state_kept", setting_type::time, "120s", false},
+        {"bounds", "evacuation", setting_type::time, "0s", false},
     };
     return list;
 }
@@ -87,7 +88,7 @@
         : settings_(std::move(settings)), loop_(std::move(loop)),
           http_client_(*loop_),
           store_client_(http_client_, settings_.text("store.address")),
-          store_(store_client_, *loop_), rules_(store_, *loop_),
+          store_(store_client_, *loop_), operator_table_(store_, *loop_),
           work_table_(store_, *loop_,
                       {std::string(rows::layout::work_table),
                        work_feed_poll_timeout,
@@ -104,17 +105,20 @@
                       }),
           entry_registry_(store_, *loop_, settings_.text("listen.entries")),
           peer_relay_(entry_registry_, http_client_),
-          customer_service_(store_, *loop_, rules_, work_table_, job_directory_,
-                            peer_relay_, *this),
+          customer_service_(store_, *loop_, operator_table_, work_table_,
+                            job_directory_, peer_relay_, *this),
           notice_sender_(http_client_),
           advice_client_(http_client_, settings_.text("advice.address")),
           decider_service_(
-              store_, *loop_, work_table_, [this] { return rules_.current(); },
+              store_, *loop_, work_table_,
+              [this] { return operator_table_.current(); }, operator_table_,
               {notice_sender_,
                [this] { return entry_registry_.other_addresses(); }},
               advice_client_,
-              {settings_.text("process.node"), settings_.text("listen.entries"),
-               make_scheduler_limits(settings_)})
+              {settings_.text("process.node"),
+               settings_.text("listen.entries"),
+               make_scheduler_limits(settings_),
+               {settings_.time("bounds.evacuation")}})
     {
     }
 
@@ -156,7 +160,7 @@
                             {{"effect", "from the next start on"}});
         });
         store_.on_recovery([this] {
-            rules_.restart();
+            operator_table_.restart();
             entry_registry_.restart();
             work_table_.restart();
         });
@@ -166,7 +170,7 @@
                     decider_service_.request_takeover();
             });
         });
-        rules_.start();
+        operator_table_.start();
         entry_registry_.start();
         work_table_.start();
         decider_service_.start();
@@ -271,7 +275,7 @@
     event::evhttp_client http_client_;
     adapter::store_client store_client_;
     rows::monitored_store store_;
-    adapter::store_rules_source rules_;
+    adapter::operator_table operator_table_;
     gateway::job_directory job_directory_;
     rows::table_replica work_table_;
     gateway::entry_registry entry_registry_;
--- a/packages/scheduler/decider_service.cpp
+++ b/packages/scheduler/decider_service.cpp
@@ -1,5 +1,6 @@
 #include "scheduler/decider_service.hpp"
 
+#include "core/codec.hpp"
 #include "core/event_log.hpp"
 #include "jobs/row_codec.hpp"
 #include "metrics/metrics.hpp"
@@ -41,10 +42,11 @@
     rows::row_store& store, event::timer_service& timers,
     rows::table_replica const& work,
     std::function<std::shared_ptr<jobs::rules const>()> rules,
-    peers other_processes, advice_service& advice, options settings)
+    evacuation_source const& evacuations, peers other_processes,
+    advice_service& advice, options settings)
     : store_(store), timers_(timers), work_(work), rules_(std::move(rules)),
-      peers_(std::move(other_processes)), advice_(advice),
-      options_(std::move(settings)),
+      evacuations_(evacuations), peers_(std::move(other_processes)),
+      advice_(advice), options_(std::move(settings)),
       candidate_(store, timers, work, options_.node, options_.address,
                  [this](auto const& acquired) { become_decider(acquired); }),
       // Sampled once: the time of day may jump later, the steady clock does
@@ -333,6 +335,7 @@
     is_round_needed_ = false;
     if (auto rules = rules_(); rules != nullptr)
         core_->set_rules(std::move(rules));
+    core_->set_start_limits(current_start_limits());
     auto const started_at = timers_.now();
     auto changes = core_->decide(current_decision_time());
     metrics::observe(metrics::duration_metric::decision,
@@ -444,6 +447,19 @@
             report_replica_->confirmed_at().value_or(core::time_point{})};
 }
 
+start_limits decider_service::current_start_limits()
+{
+    auto const known = evacuations_.evacuations();
+    auto limits = limit_starts(known, options_.evacuation);
+    if (limits.are_starts_held != are_starts_held_) {
+        are_starts_held_ = limits.are_starts_held;
+        auto const age = std::min(known.age, core::max_document_duration);
+        core::log_event(are_starts_held_ ? "starts_held" : "starts_resumed",
+                        {{"knowledge_age_ms", age.count()}});
+    }
+    return limits;
+}
+
 void decider_service::stop()
 {
     is_stopped_ = true;
--- a/packages/scheduler/decider_service.hpp
+++ b/packages/scheduler/decider_service.hpp
@@ -30,6 +30,7 @@
         /// theirs on the same port.
         std::string address;
         scheduler_limits limits;
+        jobs::evacuation_timing evacuation;
     };
 
     /// How to notify other processes without the store.
@@ -45,14 +46,15 @@
     /// @param work replica of the work table, with the jobs and the lease; the
     ///        caller passes each changed row to observe()
     /// @param rules returns the rules in force; may return null
+    /// @param evacuations the data centres in which no task may start
     /// @param other_processes how to notify other processes
     /// @param advice issues the tickets that some queues need
     /// @param settings names and limits
     decider_service(rows::row_store& store, event::timer_service& timers,
                     rows::table_replica const& work,
                     std::function<std::shared_ptr<jobs::rules const>()> rules,
-                    peers other_processes, advice_service& advice,
-                    options settings);
+                    evacuation_source const& evacuations, peers other_processes,
+                    advice_service& advice, options settings);
     ~decider_service() override;
 
     /// Begins to take part in elections.
@@ -124,11 +126,14 @@
     /// Removes the rows of a job that entries wrote, then those of the decider.
     void retire_job(job_change change);
     decision_time current_decision_time() const;
+    /// @return the limits of the next round; logs when it holds starts back
+    start_limits current_start_limits();
 
     rows::row_store& store_;
     event::timer_service& timers_;
     rows::table_replica const& work_;
     std::function<std::shared_ptr<jobs::rules const>()> rules_;
+    evacuation_source const& evacuations_;
     peers peers_;
     advice_service& advice_;
     options options_;
@@ -148,6 +153,7 @@
     std::map<std::string, core::time_point> jobs_without_order_;
     pending_notices pending_notices_;
     bool is_round_needed_ = false;
+    bool are_starts_held_ = false; ///< in the last round
     bool is_advice_pending_ = false;
     std::int64_t unix_offset_ms_; ///< time of day minus steady clock
 
--- a/packages/scheduler/group_builder.cpp
+++ b/packages/scheduler/group_builder.cpp
@@ -348,7 +348,8 @@
 collect_workers(worker_map const& workers, job_map const& jobs,
                 placement::worker_health const& health,
                 placement::worker_speed const& speed, core::time_point now,
-                core::duration report_freshness_limit)
+                core::duration report_freshness_limit,
+                std::set<std::string> const& evacuated)
 {
     std::map<std::string, std::size_t> positions;
     std::vector<placement::worker> result;
--- a/packages/scheduler/group_builder.hpp
+++ b/packages/scheduler/group_builder.hpp
@@ -9,6 +9,7 @@
 #include "scheduler/worker_view.hpp"
 
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -70,11 +71,13 @@
 /// @param now the current time
 /// @param report_freshness_limit a worker whose newest report is this old or
 ///        older accepts no new runs
+/// @param evacuated the data centres whose workers accept no new runs
 std::vector<placement::worker>
 collect_workers(worker_map const& workers, job_map const& jobs,
                 placement::worker_health const& health,
                 placement::worker_speed const& speed, core::time_point now,
-                core::duration report_freshness_limit);
+                core::duration report_freshness_limit,
+                std::set<std::string> const& evacuated);
 
 /// @return whether a run has made no progress for too long although reports
 ///         list it as running
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -401,13 +401,15 @@
 void scheduler_core::place_tasks(core::time_point now)
 {
     advice_requests_.clear();
+    if (start_limits_.are_starts_held)
+        return;
     auto waiting =
         collect_waiting_groups(jobs_, *rules_, statistics_.run_times, now);
     if (waiting.empty())
         return;
-    auto const workers =
-        collect_workers(workers_, jobs_, statistics_.health, statistics_.speed,
-                        now, limits_.report_freshness_limit);
+    auto const workers = collect_workers(
+        workers_, jobs_, statistics_.health, statistics_.speed, now,
+        limits_.report_freshness_limit, start_limits_.evacuated_data_centres);
     apply_urgent_headroom(waiting, workers, now);
     // Only urgent groups may preempt others.
     bool const can_preempt =
@@ -544,17 +546,19 @@
     auto const& report = workers_.at(agent).report;
     auto const& executor = report.worker.executor;
     auto const& step = step_of(job, task);
-    jobs::run_order order{agent,
-                          executor,
-                          {task, run},
-                          job.submission.spec.payload,
-                          find_checkpoint_owner(job, task)->checkpoint,
-                          false,
-                          job.submission.parameters.is_urgent(),
-                          "",
-                          step.response_target,
-                          step.is_filler,
-                          report.session};
+    jobs::run_order order{
+        agent,
+        executor,
+        {task, run},
+        job.submission.spec.payload,
+        find_checkpoint_owner(job, task)->checkpoint,
+        false,
+        job.submission.parameters.is_urgent(),
+        "",
+        step.response_target,
+        step.is_filler,
+        report.session,
+        start_limits_.start_deadline.value_or(core::duration(0))};
     if (job.submission.parameters.needs_tickets()) {
         order.ticket =
             job.advice.at(step_key_of(task))
--- a/packages/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/scheduler_core.hpp
@@ -6,6 +6,7 @@
 #include "scheduler/group_builder.hpp"
 #include "scheduler/open_job.hpp"
 #include "scheduler/run_end_recorder.hpp"
+#include "scheduler/start_limits.hpp"
 #include "scheduler/urgent_headroom.hpp"
 #include "scheduler/worker_view.hpp"
 
@@ -64,6 +65,12 @@
         rules_ = std::move(rules);
     }
 
+    /// Sets where and until when the runs of the rounds from now on may start.
+    void set_start_limits(start_limits limits)
+    {
+        start_limits_ = std::move(limits);
+    }
+
     /// Adds a job. Does nothing if a job with this id was added before.
     /// @param submission the job
     /// @param accepted_at when it was accepted; its completion objective counts
@@ -185,6 +192,7 @@
     scheduler_limits limits_;
     std::shared_ptr<jobs::rules const> rules_ =
         std::make_shared<jobs::rules const>();
+    start_limits start_limits_;
     job_map jobs_;
     worker_map workers_;
     run_statistics statistics_;
--- a/tests/adapter/adapter_test.cpp
+++ b/tests/adapter/adapter_test.cpp
@@ -2,11 +2,12 @@
 #include "customer_server.hpp"
 #include "executor_client.hpp"
 #include "heartbeat_server.hpp"
+#include "operator_table.hpp"
 #include "store_client.hpp"
-#include "store_rules_source.hpp"
 
 #include "core/codec.hpp"
 #include "scripted_client.hpp"
+#include "support/memory_row_store.hpp"
 
 #include <gtest/gtest.h>
 
@@ -212,6 +213,86 @@
     EXPECT_EQ(core::value(message).sequence, 4);
 }
 
+/// The table of the operators, in a store that the test writes to.
+class operator_table_test : public testing::Test
+{
+public:
+    operator_table_test() : store(timers), table(store, timers)
+    {
+        table.start();
+        timers.advance(50ms);
+    }
+
+    static rows::row_key evacuation_row(std::string const& data_centre)
+    {
+        return {"op", "", "evacuate/" + data_centre};
+    }
+
+    void withdraw(std::string const& data_centre)
+    {
+        rows::transaction removal;
+        removal.removals.push_back(evacuation_row(data_centre));
+        store.commit(removal, 1s, [](auto const&) {});
+    }
+
+    std::set<std::string> data_centres() const
+    {
+        return table.evacuations().data_centres;
+    }
+
+    support::manual_timers timers;
+    support::memory_row_store store;
+    operator_table table;
+};
+
+using names = std::set<std::string>;
+
+TEST_F(operator_table_test, follows_evacuations)
+{
+    store.put(evacuation_row("z1"), "{}");
+    store.put(evacuation_row("z2"), "");
+    timers.advance(50ms);
+    EXPECT_EQ(data_centres(), (names{"z1", "z2"}));
+    withdraw("z1");
+    timers.advance(50ms);
+    EXPECT_EQ(data_centres(), names{"z2"});
+    store.put(evacuation_row("z1"), "{}");
+    timers.advance(50ms);
+    EXPECT_EQ(data_centres(), (names{"z1", "z2"}));
+}
+
+// Guards against an evacuation that is missed, or stays in force for good,
+// because the store has dropped the change from its history.
+TEST_F(operator_table_test, follows_evacuations_over_a_dropped_history)
+{
+    store.put(evacuation_row("z1"), "{}");
+    timers.advance(50ms);
+    store.reads = support::memory_row_store::fault::refused;
+    timers.advance(1s);
+    withdraw("z1");
+    store.put(evacuation_row("z2"), "{}");
+    store.drop_history();
+    store.reads = support::memory_row_store::fault::none;
+    timers.advance(3s);
+    EXPECT_EQ(data_centres(), names{"z2"});
+}
+
+// Guards against evacuations that count as current although no answer of the
+// store has confirmed them.
+TEST_F(operator_table_test, tells_up_to_when_evacuations_are_known)
+{
+    timers.advance(2s);
+    auto const known = table.evacuations();
+    ASSERT_TRUE(known.confirmed_at);
+    EXPECT_LE(known.age, 2s);
+    EXPECT_LE(*known.confirmed_at, timers.now().time_since_epoch());
+    store.reads = support::memory_row_store::fault::refused;
+    timers.advance(5s);
+    auto const later = table.evacuations();
+    EXPECT_GE(later.age, 4s);
+    EXPECT_LE(*later.confirmed_at, timers.now().time_since_epoch() - 4s);
+}
+
 // Guards against placing work on an executor whose heartbeat is incomplete or
 // invalid.
 TEST(heartbeat, rejects_missing_and_invalid_fields)
--- a/tests/adapter/odd_input_test.cpp
+++ b/tests/adapter/odd_input_test.cpp
@@ -2,8 +2,8 @@
 #include "customer_server.hpp"
 #include "executor_client.hpp"
 #include "heartbeat_server.hpp"
+#include "operator_table.hpp"
 #include "store_client.hpp"
-#include "store_rules_source.hpp"
 
 #include "core/codec.hpp"
 #include "scripted_client.hpp"
--- a/tests/agents/agent_service_test.cpp
+++ b/tests/agents/agent_service_test.cpp
@@ -174,6 +174,12 @@
         return order;
     }
 
+    /// @return the time of the store's clock
+    core::duration store_time() const
+    {
+        return timers.now().time_since_epoch();
+    }
+
     void put_order(jobs::run_order const& order)
     {
         store.put(rows::layout::order_row("a", to_text(order.run)),
@@ -247,6 +253,26 @@
     std::int64_t sequence = 0;
 };
 
+// An order lies in the store while its agent cannot read it. Guards against
+// a start in a data centre that may have been evacuated meanwhile.
+TEST_F(agent_service_test, starts_no_run_after_the_deadline_of_its_order)
+{
+    begin();
+    auto timely = make_order(0);
+    timely.start_deadline = store_time() + 2s;
+    auto late = make_order(1);
+    late.start_deadline = store_time() + 2s;
+    put_order(timely);
+    timers.advance(500ms);
+    cut_store();
+    timers.advance(2s);
+    put_order(late);
+    restore_store();
+    timers.advance(2s);
+    EXPECT_TRUE(executor.running.contains(timely.run));
+    EXPECT_FALSE(executor.running.contains(late.run));
+}
+
 TEST_F(agent_service_test, carries_out_an_order_and_reports_its_end)
 {
     begin();
--- a/tests/agents/run_tracker_test.cpp
+++ b/tests/agents/run_tracker_test.cpp
@@ -91,6 +91,53 @@
     EXPECT_EQ(tracker.ended()[0].end, jobs::run_end::done);
 }
 
+// Guards against a run that starts after the deadline of its order, when its
+// data centre may have been evacuated.
+TEST_F(run_tracker_test, does_not_start_an_expired_order)
+{
+    order.start_deadline = 5000ms;
+    tracker.put_order(order, false);
+    EXPECT_TRUE(tracker.expire_orders(5000ms).empty());
+    EXPECT_EQ(tracker.expire_orders(5001ms).size(), 1U);
+    EXPECT_TRUE(tracker.next_actions(now, permission::granted).empty());
+    ASSERT_EQ(tracker.ended().size(), 1U);
+    EXPECT_EQ(tracker.ended()[0].end, jobs::run_end::stopped);
+}
+
+// A start got no answer, and its order expires before it is repeated. Guards
+// against a task that runs twice: the start may have taken effect.
+TEST_F(run_tracker_test, stops_an_expired_order_that_may_have_started)
+{
+    order.start_deadline = 5000ms;
+    tracker.put_order(order, false);
+    answer(next_action(), order_outcome::unknown);
+    now += 1s;
+    EXPECT_EQ(tracker.expire_orders(6000ms).size(), 1U);
+    auto const stop = next_action();
+    EXPECT_EQ(stop.type, run_tracker::action::kind::stop);
+    EXPECT_TRUE(tracker.ended().empty());
+    answer(stop, order_outcome::done);
+    tracker.receive_snapshot(snapshot(), now + 10ms);
+    ASSERT_EQ(tracker.ended().size(), 1U);
+    EXPECT_EQ(tracker.ended()[0].end, jobs::run_end::stopped);
+}
+
+// Guards against stopping work because the deadline of its start has passed.
+TEST_F(run_tracker_test, keeps_a_run_that_started_before_its_deadline)
+{
+    order.start_deadline = 5000ms;
+    tracker.put_order(order, false);
+    auto const start = next_action();
+    EXPECT_TRUE(tracker.expire_orders(6000ms).empty());
+    answer(start, order_outcome::done);
+    EXPECT_TRUE(tracker.expire_orders(6000ms).empty());
+    auto running = snapshot();
+    running.running = {{order.run, "", 10, 100, 0ms}};
+    tracker.receive_snapshot(running, now + 10ms);
+    EXPECT_TRUE(tracker.expire_orders(6000ms).empty());
+    EXPECT_TRUE(tracker.next_actions(now, permission::granted).empty());
+}
+
 // Guards against reporting a refusal for a run whose end the executor lists.
 TEST_F(run_tracker_test, reports_a_refusal_only_after_a_snapshot)
 {
--- a/tests/fuzz/decoders.cpp
+++ b/tests/fuzz/decoders.cpp
@@ -11,12 +11,12 @@
 #include "heartbeat_server.hpp"
 #include "jobs/row_codec.hpp"
 #include "notices/row_notice.hpp"
+#include "operator_table.hpp"
 #include "operators/rule_file.hpp"
 #include "operators/rules_document.hpp"
 #include "peers/messages.hpp"
 #include "scheduler/commit_queue.hpp"
 #include "store_client.hpp"
-#include "store_rules_source.hpp"
 
 #include <vector>
 
--- a/tests/jobs/row_codec_test.cpp
+++ b/tests/jobs/row_codec_test.cpp
@@ -99,6 +99,7 @@
     order.response_target = core::duration(100);
     order.is_filler = true;
     order.session = "s-1";
+    order.start_deadline = core::duration(7000);
     auto const decoded_order = decode_order(encode(order));
     ASSERT_TRUE(core::is_ok(decoded_order));
     EXPECT_EQ(encode(core::value(decoded_order)), encode(order));
@@ -106,6 +107,7 @@
     EXPECT_EQ(core::value(decoded_order).response_target, core::duration(100));
     EXPECT_TRUE(core::value(decoded_order).is_filler);
     EXPECT_EQ(core::value(decoded_order).session, "s-1");
+    EXPECT_EQ(core::value(decoded_order).start_deadline, core::duration(7000));
 }
 
 // Guards against a crash on an invalid row, which another program may have
--- a/tests/programs/explain_command_test.cpp
+++ b/tests/programs/explain_command_test.cpp
@@ -53,5 +53,24 @@
         << explain("j1", late_start);
 }
 
+// Guards against a wait that looks like a want of workers while a data centre
+// was evacuated, and against naming an evacuation that was over by then.
+TEST(explain, names_evacuations_that_a_job_waited_through)
+{
+    std::vector<std::string> const waited{
+        R"({"time_ms":100,"event":"evacuation_requested","data_centre":"z1"})",
+        R"({"time_ms":200,"event":"evacuation_withdrawn","data_centre":"z1"})",
+        R"({"time_ms":900,"event":"evacuation_requested","data_centre":"z2"})",
+        R"({"time_ms":1000,"node":"e","event":"job_queued","job":"j1"})",
+        R"({"time_ms":3000,"node":"e","event":"run_ordered","job":"j1"})",
+        R"({"time_ms":3100,"event":"evacuation_requested","data_centre":"z3"})",
+    };
+    EXPECT_NE(explain("j1", waited)
+                  .find("evacuated while it waited for its first run: z2\n"),
+              std::string::npos)
+        << explain("j1", waited);
+    EXPECT_EQ(explain("j1", lines).find("evacuated"), std::string::npos);
+}
+
 } // namespace
 } // namespace sequoiaroute::programs
--- a/tests/scheduler/decider_service_test.cpp
+++ b/tests/scheduler/decider_service_test.cpp
@@ -40,6 +40,15 @@
     bool is_available = true;
 };
 
+/// Evacuations that the test sets.
+class fake_evacuations final : public evacuation_source
+{
+public:
+    evacuation_state evacuations() const override { return state; }
+
+    evacuation_state state{{}, 0ms, 0ms};
+};
+
 /// The parts of an entry that the decider needs.
 class entry
 {
@@ -55,8 +64,9 @@
                 [this](rows::row const& changed) { decider.observe(changed); }),
           decider(store, timers, work_,
                   [] { return std::make_shared<jobs::rules const>(); },
+                  evacuations,
                   {notices, [] { return std::vector{other_address}; }}, advice,
-                  {std::move(name), own_address, {}})
+                  {std::move(name), own_address, {}, {5s}})
     {
         work_.start();
         decider.start();
@@ -66,6 +76,7 @@
     inline static std::string const other_address = "10.0.0.2:7000";
 
     support::recording_notice_sender notices;
+    fake_evacuations evacuations;
     fake_advice advice;
 
 private:
@@ -218,6 +229,25 @@
     EXPECT_EQ(count(), before + 1);
 }
 
+// The decider no longer hears what operators request, while it still writes.
+// Guards against placing work in a data centre that was evacuated since.
+TEST_F(decider_service_test, holds_starts_while_evacuations_are_not_known)
+{
+    entry first(store, timers, "one");
+    add_worker("a");
+    timers.advance(1s);
+    first.evacuations.state.age = 3500ms;
+    add_job("j");
+    timers.advance(500ms);
+    EXPECT_FALSE(order("j"));
+    first.evacuations.state = {{}, 9000ms, 100ms};
+    timers.advance(500ms);
+    auto const written = order("j");
+    ASSERT_TRUE(written);
+    EXPECT_EQ(core::value(jobs::decode_order(written->value)).start_deadline,
+              13'000ms);
+}
+
 // Guards against orders that are repeated or lost when the answer of the store
 // is lost.
 TEST_F(decider_service_test, retries_a_commit_whose_answer_was_lost)
--- a/tests/scheduler/scheduler_core_test.cpp
+++ b/tests/scheduler/scheduler_core_test.cpp
@@ -695,6 +695,61 @@
     EXPECT_EQ(decide_starts().size(), 1U);
 }
 
+// A data centre is evacuated while work waits and runs there. Guards against
+// runs that are placed in it, against stopping those that were placed before,
+// and against workers that stay unused after the evacuation.
+TEST_F(scheduler_core_test, places_nothing_in_an_evacuated_data_centre)
+{
+    add_worker("a");
+    add_job("early", 1, 4);
+    EXPECT_EQ(decide_starts().size(), 1U);
+    core_.set_start_limits({{"z"}, std::nullopt, false});
+    add_job("late", 1, 4);
+    auto const changes = decide();
+    EXPECT_TRUE(orders(changes, starts).empty());
+    EXPECT_TRUE(orders(changes, stops).empty());
+    core_.set_start_limits({});
+    EXPECT_EQ(decide_starts().size(), 1U);
+}
+
+// A gang that is covered by a guarantee needs the room of an evacuated data
+// centre. Guards against stopping runs there for it, which could not make room.
+TEST_F(scheduler_core_test, preempts_nothing_in_an_evacuated_data_centre)
+{
+    jobs::rules rules;
+    rules.guaranteed_accelerators["press"] = 8;
+    core_.set_rules(std::make_shared<jobs::rules const>(rules));
+    add_worker("a");
+    add_job("patient", 1, 8);
+    report_running(decide_starts().at(0), 50);
+    core_.set_start_limits({{"z"}, std::nullopt, false});
+    add_job("urgent", 1, 8, true, 0);
+    EXPECT_TRUE(orders(decide(), stops).empty());
+}
+
+// Guards against runs that start long after the decider has learnt where tasks
+// may start.
+TEST_F(scheduler_core_test, passes_the_start_deadline_to_agents)
+{
+    add_worker("a");
+    core_.set_start_limits({{}, 7000ms, false});
+    add_job("j", 1, 1);
+    auto const started = decide_starts();
+    ASSERT_EQ(started.size(), 1U);
+    EXPECT_EQ(started[0].start_deadline, 7000ms);
+}
+
+// Guards against placing work by evacuations that are out of date.
+TEST_F(scheduler_core_test, places_nothing_while_starts_are_held)
+{
+    add_worker("a");
+    add_job("j", 1, 1);
+    core_.set_start_limits({{}, 7000ms, true});
+    EXPECT_TRUE(decide_starts().empty());
+    core_.set_start_limits({{}, 9000ms, false});
+    EXPECT_EQ(decide_starts().size(), 1U);
+}
+
 // A third of the workers is slow. Guards against a decider that notices this
 // only when the first tasks have ended, which is too late on a short day.
 TEST_F(scheduler_core_test, derives_the_speed_of_workers_from_progress)
