scheduler: Do not learn from runs on cold executors

Cause: after its start an executor may be slow for some time, as all executors of a data centre are that comes back from an evacuation. Urgent work was placed on them like on others, and their run times entered the estimates of the speed of workers and of the run times of queues.

Change: heartbeats and reports say for how long the executor stays cold. Urgent work prefers others until then, and runs that were ordered before then are no samples.

--- a/packages/jobs/row_codec.cpp
+++ b/packages/jobs/row_codec.cpp
@@ -164,15 +164,18 @@
 
 json to_json(worker_description const& worker)
 {
-    return {{"executor", worker.executor.id},
-            {"born_ms", worker.executor.born_ms},
-            {"service", worker.service},
-            {"data_centre", worker.data_centre},
-            {"rack", worker.rack},
-            {"state", name(worker.state)},
-            {"remaining_ms", worker.remaining.count()},
-            {"capacity", to_json(worker.capacity)},
-            {"labels", worker.labels}};
+    json document{{"executor", worker.executor.id},
+                  {"born_ms", worker.executor.born_ms},
+                  {"service", worker.service},
+                  {"data_centre", worker.data_centre},
+                  {"rack", worker.rack},
+                  {"state", name(worker.state)},
+                  {"remaining_ms", worker.remaining.count()},
+                  {"capacity", to_json(worker.capacity)},
+                  {"labels", worker.labels}};
+    if (worker.cold_for > core::duration(0))
+        document["cold_ms"] = worker.cold_for.count();
+    return document;
 }
 
 worker_description worker_from(json const& document)
@@ -184,6 +187,7 @@
     worker.rack = document.at("rack");
     worker.state = parse_worker_state(document.at("state"));
     worker.remaining = core::to_duration(document.at("remaining_ms"));
+    worker.cold_for = core::duration_field(document, "cold_ms");
     worker.capacity = resources_from(document.at("capacity"));
     worker.labels = document.at("labels").get<std::vector<std::string>>();
     return worker;
--- a/packages/jobs/worker_report.hpp
+++ b/packages/jobs/worker_report.hpp
@@ -55,6 +55,8 @@
     core::duration remaining{0};
     resources capacity;
     std::vector<std::string> labels;
+    /// How much longer the executor is slow after its start.
+    core::duration cold_for{0};
 
     bool operator==(worker_description const&) const = default;
 };
--- a/packages/scheduler/group_builder.cpp
+++ b/packages/scheduler/group_builder.cpp
@@ -34,6 +34,11 @@
 /// time and this fraction of its estimate: long tasks advance in rarer steps.
 constexpr core::duration min_stall_time{2600};
 constexpr double stall_fraction_of_estimate = 0.12;
+/// The slowness of an executor that is cold after its start: half as slow
+/// again, since its true speed is not known before it has warmed up.
+constexpr std::int32_t cold_slowness = 4;
+/// An executor that is warm sooner than this counts as warm.
+constexpr core::duration min_cold_time{1000};
 
 /// @return the cores of a task, accelerators included at their equivalent
 double core_equivalents(jobs::resources const& task)
@@ -367,9 +372,12 @@
         worker.is_accepting =
             description.state == jobs::worker_state::ready &&
             now - view.last_report_at < report_freshness_limit &&
-            !health.is_avoided(agent, now);
+            !health.is_avoided(agent, now) &&
+            !evacuated.contains(description.data_centre);
         worker.recent_failures = health.recent_failures(agent, now);
         worker.slowness = speed.slowness(agent);
+        if (view.cold_until > now + min_cold_time)
+            worker.slowness = std::max(worker.slowness, cold_slowness);
         positions[agent] = result.size();
         result.push_back(std::move(worker));
     }
--- a/packages/scheduler/open_job.hpp
+++ b/packages/scheduler/open_job.hpp
@@ -32,6 +32,9 @@
     core::time_point ordered_at{};
     /// Ordered by an earlier decider; ordered_at is the time of the takeover.
     bool is_restored = false;
+    /// Its executor was slow after its start when it was ordered, so its run
+    /// time says little about the worker and the queue.
+    bool was_ordered_cold = false;
     /// When a report first listed it as running; empty before that.
     std::optional<core::time_point> first_seen_at;
     std::int32_t first_seen_percent = 0; ///< its progress at that time
--- a/packages/scheduler/run_statistics.cpp
+++ b/packages/scheduler/run_statistics.cpp
@@ -31,7 +31,8 @@
 {
     auto const& task = run.order.run.task;
     auto const advance = run.percent - run.first_seen_percent;
-    if (run.is_speed_recorded || advance < min_speed_advance_percent ||
+    if (run.is_speed_recorded || run.was_ordered_cold ||
+        advance < min_speed_advance_percent ||
         !is_speed_sample(step_of(job, task)))
         return;
     run.is_speed_recorded = true;
@@ -45,7 +46,8 @@
 {
     // A run that starts from a checkpoint has less work to do, and the start of
     // one that an earlier decider ordered is not known.
-    if (!run.order.checkpoint.empty() || run.is_restored)
+    if (!run.order.checkpoint.empty() || run.is_restored ||
+        run.was_ordered_cold)
         return;
     auto const& task = run.order.run.task;
     auto const& step = step_of(job, task);
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -108,6 +108,9 @@
     run.resources = step_of(job, task).requested_resources();
     run.percent_changed_at = now;
     run.ordered_at = now;
+    if (auto const worker = workers_.find(order.agent);
+        worker != workers_.end())
+        run.was_ordered_cold = worker->second.cold_until > now;
     run.order = std::move(order);
     runs_by_agent_.add(run.order.agent, task);
     job.assignments.insert_or_assign(task, std::move(run));
@@ -136,6 +139,7 @@
         view.first_executor = report.worker.executor;
     view.report = std::move(report);
     view.last_report_at = now;
+    view.cold_until = now + view.report.worker.cold_for;
     record_running(view.report, now);
     record_ends(view.report, now);
 }
--- a/packages/scheduler/worker_view.hpp
+++ b/packages/scheduler/worker_view.hpp
@@ -16,6 +16,8 @@
     /// When it arrived. For one read from the store at a takeover: when it was
     /// written.
     core::time_point last_report_at{};
+    /// Until when its executor is slow after its start.
+    core::time_point cold_until{};
     /// The executor in the first report that the decider has received.
     jobs::incarnation first_executor;
 };
--- a/tests/adapter/adapter_test.cpp
+++ b/tests/adapter/adapter_test.cpp
@@ -199,7 +199,7 @@
 
 constexpr std::string_view valid_heartbeat =
     R"({"Service":"s","Addr":"10.1.0.9:80","Zone":"z","Version":"v1","Slots":8,
-        "State":"ready","ColdLeftMs":0,"Capacity":{"Cpu":16000,"MemMb":32768,
+        "State":"ready","ColdLeftMs":700,"Capacity":{"Cpu":16000,"MemMb":32768,
         "Gpu":8},"Labels":["a","r1-3"],"ClockMs":482113,"Seq":4,"born":99})";
 
 TEST(heartbeat, decodes_worker_description)
@@ -209,6 +209,7 @@
     auto const& worker = core::value(message).worker;
     EXPECT_EQ(worker.executor, (jobs::incarnation{"i-1", 99}));
     EXPECT_EQ(worker.rack, "r1-3");
+    EXPECT_EQ(worker.cold_for, 700ms);
     EXPECT_EQ(worker.capacity, (jobs::resources{16000, 32768, 8}));
     EXPECT_EQ(core::value(message).sequence, 4);
 }
--- a/tests/jobs/row_codec_test.cpp
+++ b/tests/jobs/row_codec_test.cpp
@@ -81,6 +81,7 @@
                      core::duration(40),
                      {1, 2, 3},
                      {"a", "r1"}};
+    report.worker.cold_for = core::duration(900);
     report.running = {{{{"j", 0, 1, 2}, 3}, "cp", 40, 16, core::duration(0)}};
     report.ended = {{{{"j", 0, 1, 3}, 1}, run_end::broken, ""}};
     report.session = "s-1";
--- a/tests/scheduler/scheduler_core_test.cpp
+++ b/tests/scheduler/scheduler_core_test.cpp
@@ -750,6 +750,27 @@
     EXPECT_EQ(decide_starts().size(), 1U);
 }
 
+// Two workers come back cold after an evacuation. Guards against urgent gangs
+// on cold executors, and against a worker that counts as slow for good because
+// its first runs were.
+TEST_F(scheduler_core_test, avoids_cold_executors_for_urgent_work)
+{
+    for (auto const* agent : {"a", "b", "c"})
+        add_worker(agent);
+    auto cold = reports_.at("a");
+    cold.worker.cold_for = 5s;
+    core_.receive_report(cold, now_);
+    add_job("urgent", 1, 8, true, 0);
+    EXPECT_EQ(decide_starts().at(0).agent, "b");
+    now_ += 6s;
+    for (auto const* agent : {"a", "b", "c"})
+        add_worker(agent);
+    add_job("next", 2, 8, true, 0);
+    auto const next = decide_starts();
+    ASSERT_EQ(next.size(), 2U);
+    EXPECT_EQ(next[0].agent, "a");
+}
+
 // A third of the workers is slow. Guards against a decider that notices this
 // only when the first tasks have ended, which is too late on a short day.
 TEST_F(scheduler_core_test, derives_the_speed_of_workers_from_progress)
