scheduler: Do not take members that wait for their gang as stalled

Cause: each member of a gang reports its own progress, and all end together. On workers of unequal speed the fast members stand at 100 percent until the slow ones have caught up.

Change: a gang member that has done its work is not stalled while other members have not. A member that stands still before the end still stops its gang.

Result: keeps_a_gang_whose_fast_member_has_done_its_work fails before and passes now; stops_a_gang_with_a_member_that_stands_still passes before and now.

--- a/packages/scheduler/group_builder.cpp
+++ b/packages/scheduler/group_builder.cpp
@@ -34,6 +34,8 @@
 /// time and this fraction of its estimate: long tasks advance in rarer steps.
 constexpr core::duration min_stall_time{2600};
 constexpr double stall_fraction_of_estimate = 0.12;
+/// The progress, in percent, of a run that has done its work.
+constexpr std::int32_t complete_percent = 100;
 /// The slowness of an executor that is cold after its start: half as slow
 /// again, since its true speed is not known before it has warmed up.
 constexpr std::int32_t cold_slowness = 4;
@@ -229,6 +231,21 @@
     return result;
 }
 
+/// The members of a gang end together, so one on a fast worker waits at the end
+/// of its work for those on slower ones.
+/// @return whether a member of a gang has done its work, and others have not
+bool awaits_other_members(open_job const& job, assignment const& run)
+{
+    if (run.percent < complete_percent)
+        return false;
+    auto const key = step_key_of(run.order.run.task);
+    return std::any_of(job.assignments.begin(), job.assignments.end(),
+                       [&](auto const& item) {
+                           return step_key_of(item.first) == key &&
+                                  item.second.percent < complete_percent;
+                       });
+}
+
 /// @return the work, in core-seconds, that a stop of the run would lose now
 double lost_core_seconds(open_job const& job, assignment const& run,
                          core::time_point now)
@@ -340,6 +357,8 @@
     // A filler that its agent throttles is not at fault.
     if (step.is_long_running || run.share < 100)
         return false;
+    if (step.is_gang && awaits_other_members(job, run))
+        return false;
     auto const stall_time = core::duration(
         static_cast<std::int64_t>(stall_fraction_of_estimate *
                                   static_cast<double>(step.estimate.count())));
--- a/tests/scheduler/scheduler_core_test.cpp
+++ b/tests/scheduler/scheduler_core_test.cpp
@@ -796,6 +796,45 @@
         EXPECT_NE(order.agent, "e");
 }
 
+// A gang runs on a fast and a slow worker. Guards against stopping it for want
+// of progress while its fast member waits for the slow one, and against a fast
+// worker that gets no other work meanwhile.
+TEST_F(scheduler_core_test, keeps_a_gang_whose_fast_member_has_done_its_work)
+{
+    add_worker("fast");
+    add_worker("slow");
+    add_job("gang", 2, 6, true);
+    auto const gang = decide_starts();
+    ASSERT_EQ(gang.size(), 2U);
+    for (std::int32_t percent = 40; percent <= 80; percent += 4) {
+        report_running(gang[0], 100);
+        report_running(gang[1], percent);
+        EXPECT_TRUE(orders(decide(), stops).empty());
+        now_ += 1200ms;
+    }
+    add_job("small", 2, 2);
+    EXPECT_EQ(decide_starts().size(), 2U);
+}
+
+// Guards against a gang that holds its workers for good because a member stands
+// still while the others have done their work.
+TEST_F(scheduler_core_test, stops_a_gang_with_a_member_that_stands_still)
+{
+    add_worker("a");
+    add_worker("b");
+    add_job("gang", 2, 6, true);
+    auto const gang = decide_starts();
+    ASSERT_EQ(gang.size(), 2U);
+    std::size_t stopped = 0;
+    for (int report = 0; report < 4; ++report) {
+        report_running(gang[0], 100);
+        report_running(gang[1], 40);
+        stopped += orders(decide(), stops).size();
+        now_ += 1200ms;
+    }
+    EXPECT_EQ(stopped, 2U);
+}
+
 // Guards against a report from the store that replaces a newer one, which was
 // sent directly and arrived first.
 TEST_F(scheduler_core_test, ignores_an_older_report)
