placement: Give reservations a start, and hold nothing that cannot become free

Cause: a group that fitted nowhere held whole workers from their capacity, for any time, although long-running tasks may never leave them.

Change: placement/reservation finds the workers with the earliest start from the expected ends of their runs, and holds the room from then on. Tasks that are expected to end before may use it meanwhile (EASY backfill), and room beside it is free. What long-running tasks use never counts; a group that waits for the headroom holds nothing. scheduler/remaining_time has the expected ends: a run that has passed its expected time is expected to take as long again, and a gang ends with its slowest member. collect_workers and is_stalled move to scheduler/worker_collector.

--- a/packages/placement/group_fit.cpp
+++ b/packages/placement/group_fit.cpp
@@ -33,6 +33,29 @@
     return static_cast<std::size_t>(tasks);
 }
 
+resources lesser_of(resources const& left, resources const& right)
+{
+    return {std::min(left.millicores, right.millicores),
+            std::min(left.memory_mb, right.memory_mb),
+            std::min(left.accelerators, right.accelerators)};
+}
+
+/// @return what is free on a worker at the time of a hold, beside the holds
+///         from then on or before
+resources free_at(worker const& worker, core::duration time)
+{
+    auto free = worker.free_after_stops;
+    for (auto const& end : worker.expected_ends) {
+        if (end.after <= time)
+            free += end.room;
+    }
+    for (auto const& hold : worker.holds) {
+        if (hold.after <= time)
+            free -= hold.room;
+    }
+    return free;
+}
+
 /// Orders the workers of a candidate set. Healthy workers come first, then
 /// those with few accelerators left over, which keeps whole workers free for
 /// large tasks. Urgent tasks prefer fast workers even to small leftovers; other
@@ -41,7 +64,7 @@
 auto preference_rank(worker const& worker, waiting_group const& group,
                      resources_member available)
 {
-    auto const leftover = worker.*available - group.task;
+    auto const leftover = available_to(worker, group, available) - group.task;
     bool const is_urgent = group.priority == 0;
     return std::tuple(worker.recent_failures, is_urgent ? worker.slowness : 0,
                       leftover.accelerators, is_urgent ? 0 : -worker.slowness,
@@ -61,6 +84,19 @@
             group.allowed_executors->contains(worker.executor));
 }
 
+resources available_to(worker const& worker, waiting_group const& group,
+                       resources_member available)
+{
+    auto usable = worker.*available;
+    if (available == &worker::capacity)
+        return usable;
+    for (auto const& hold : worker.holds) {
+        if (group.expected_run_time > hold.after / 5 * 4)
+            usable = lesser_of(usable, free_at(worker, hold.after));
+    }
+    return usable;
+}
+
 std::size_t max_tasks_on(worker const& worker, resources const& available,
                          waiting_group const& group)
 {
@@ -113,8 +149,8 @@
                             resources_member available)
 {
     std::erase_if(candidates, [&](std::size_t index) {
-        return max_tasks_on(workers[index], workers[index].*available, group) ==
-               0;
+        auto const usable = available_to(workers[index], group, available);
+        return max_tasks_on(workers[index], usable, group) == 0;
     });
     std::sort(candidates.begin(), candidates.end(),
               [&](std::size_t left, std::size_t right) {
@@ -129,15 +165,15 @@
     group_fit result;
     for (auto const index : candidates) {
         auto const& candidate = workers[index];
-        auto const max_tasks =
-            max_tasks_on(candidate, candidate.*available, group);
+        auto const usable = available_to(candidate, group, available);
+        auto const max_tasks = max_tasks_on(candidate, usable, group);
         auto const tasks =
             std::min(max_tasks, group.count - result.workers.size());
         result.workers.insert(result.workers.end(), tasks, index);
         if (group.priority == 0)
             result.slowest = std::max(result.slowest, candidate.slowness);
         result.leftover_accelerators +=
-            (candidate.*available).accelerators -
+            usable.accelerators -
             static_cast<std::int64_t>(tasks) * group.task.accelerators;
         if (result.workers.size() == group.count)
             break;
--- a/packages/placement/group_fit.hpp
+++ b/packages/placement/group_fit.hpp
@@ -30,6 +30,13 @@
 /// @return whether a worker may run tasks of a group, whatever else runs on it
 bool is_candidate(worker const& worker, waiting_group const& group);
 
+/// @param available the resources of the worker that the tasks may use; holds
+///        are not deducted
+/// @return the resources that tasks of a group may use, without those that are
+///         held from a time before which the tasks are not expected to end
+jobs::resources available_to(worker const& worker, waiting_group const& group,
+                             resources_member available);
+
 /// @param available the resources of the worker that the tasks may use
 /// @return the number of tasks of the group that fit, at most its count
 std::size_t max_tasks_on(worker const& worker, jobs::resources const& available,
--- a/packages/placement/placement_round.cpp
+++ b/packages/placement/placement_round.cpp
@@ -1,13 +1,12 @@
 #include "placement/placement_round.hpp"
 
 #include "placement/group_fit.hpp"
+#include "placement/reservation.hpp"
 #include "placement/victim_search.hpp"
 
 #include <algorithm>
-#include <limits>
 #include <map>
 #include <optional>
-#include <tuple>
 
 namespace sequoiaroute::placement {
 
@@ -66,6 +65,11 @@
         }
         if (fit.workers.size() == group.count)
             return;
+        // It fits, and only waits for the headroom to be given up.
+        if (group.accelerator_headroom > 0 &&
+            best_fit(workers_, group, &worker::free).workers.size() ==
+                group.count)
+            return;
         auto unplaced = group;
         unplaced.count -= fit.workers.size();
         if (reserve_after_stops(unplaced))
@@ -73,7 +77,7 @@
         if (unplaced.preemption_budget > 0 && preempt(unplaced))
             return;
         if (unplaced.can_reserve)
-            reserve_best_workers(unplaced);
+            reserve(unplaced);
     }
 
     round_result take_result() { return std::move(result_); }
@@ -106,8 +110,10 @@
                   std::span<std::size_t const> indexes)
     {
         for (auto const index : indexes) {
-            workers_[index].free -= group.task;
-            workers_[index].free_after_stops -= group.task;
+            auto& used = workers_[index];
+            used.free -= group.task;
+            used.free_after_stops -= group.task;
+            used.expected_ends.push_back({group.expected_run_time, group.task});
         }
     }
 
@@ -196,47 +202,18 @@
         return best;
     }
 
-    /// Reserves the workers that are likely to fit the group first: those with
-    /// the most free accelerators. Their whole capacity counts, so that the
-    /// group can wait for runs that are not being stopped.
-    void reserve_best_workers(waiting_group const& group)
+    /// Holds the room that the group waits for, from when it is expected to be
+    /// free.
+    void reserve(waiting_group const& group)
     {
         if (reservations_ == max_reservations)
             return;
-        std::vector<std::size_t> best;
-        auto best_free = std::numeric_limits<std::int64_t>::min();
-        for (auto& set : candidate_sets(workers_, group)) {
-            std::sort(
-                set.begin(), set.end(),
-                [&](std::size_t left, std::size_t right) {
-                    return std::tuple(
-                               -workers_[left].free_after_stops.accelerators,
-                               workers_[left].agent) <
-                           std::tuple(
-                               -workers_[right].free_after_stops.accelerators,
-                               workers_[right].agent);
-                });
-            std::vector<std::size_t> chosen;
-            std::int64_t free = 0;
-            for (auto const index : set) {
-                auto const& candidate = workers_[index];
-                auto const tasks = std::min(
-                    group.count - chosen.size(),
-                    max_tasks_on(candidate, candidate.capacity, group));
-                chosen.insert(chosen.end(), tasks, index);
-                free += candidate.free_after_stops.accelerators;
-                if (chosen.size() == group.count)
-                    break;
-            }
-            if (chosen.size() == group.count && free > best_free) {
-                best_free = free;
-                best = std::move(chosen);
-            }
-        }
-        if (best.empty())
+        auto const found = find_reservation(workers_, group);
+        if (!found)
             return;
         ++reservations_;
-        allocate(group, best);
+        for (auto const index : found->workers)
+            workers_[index].holds.push_back({found->start, group.task});
     }
 
     std::vector<worker> workers_;
--- a/packages/placement/placement_round.hpp
+++ b/packages/placement/placement_round.hpp
@@ -13,6 +13,13 @@
 
 namespace sequoiaroute::placement {
 
+/// Room on a worker that becomes free, or is needed, at some time.
+struct future_room
+{
+    core::duration after{0}; ///< from now
+    jobs::resources room;
+};
+
 /// The state of a worker in a placement round.
 struct worker
 {
@@ -27,6 +34,12 @@
     jobs::resources free;
     /// As `free`, but runs that are being stopped count as ended.
     jobs::resources free_after_stops;
+    /// Used by runs that need not ever end.
+    jobs::resources lasting;
+    /// When the other runs that are not being stopped are expected to end.
+    std::vector<future_room> expected_ends;
+    /// What groups that were placed earlier in the round wait for.
+    std::vector<future_room> holds;
     /// Whether new runs may start on it.
     bool is_accepting = true;
     /// Whether fillers run at a reduced rate because they slow down serving
@@ -44,8 +57,10 @@
 struct waiting_group
 {
     std::string service;
-    std::size_t count = 1;      ///< number of tasks to place
-    jobs::resources task;       ///< resources that each task requests
+    std::size_t count = 1; ///< number of tasks to place
+    jobs::resources task;  ///< resources that each task requests
+    /// The run time of a task; the longest duration if it is not known.
+    core::duration expected_run_time = core::duration::max();
     bool is_gang = false;       ///< all tasks start together, or none
     bool is_rack_local = false; ///< slow unless all tasks are on one rack
     bool is_filler = false; ///< runs on CPU time that other tasks leave idle
@@ -114,7 +129,8 @@
 /// loss is least. Their resources count as used until the runs have ended, and
 /// stay reserved for the group meanwhile. Groups that may reserve also get a
 /// reservation without preemption, so that small tasks do not starve large
-/// gangs.
+/// gangs. Tasks that are expected to end before the start of a reservation may
+/// use its room until then.
 ///
 /// @param workers the workers of all services
 /// @param waiting the groups, in the order in which they are placed: the most
--- a/packages/placement/victim_search.cpp
+++ b/packages/placement/victim_search.cpp
@@ -18,7 +18,8 @@
     {
         for (auto const index : candidates) {
             is_in_set_[index] = true;
-            available_[index] = workers[index].free_after_stops;
+            available_[index] =
+                available_to(workers[index], group_, &worker::free_after_stops);
             tasks_[index] =
                 max_tasks_on(workers[index], available_[index], group_);
             total_tasks_ += tasks_[index];
--- a/packages/scheduler/group_builder.cpp
+++ b/packages/scheduler/group_builder.cpp
@@ -30,18 +30,6 @@
 /// Tasks with checkpoints save one at least this often, in seconds, so no more
 /// work than that is lost by a stop.
 constexpr double max_checkpoint_age_s = 1;
-/// A run is stalled if its percentage has not changed for the longer of this
-/// time and this fraction of its estimate: long tasks advance in rarer steps.
-constexpr core::duration min_stall_time{2600};
-constexpr double stall_fraction_of_estimate = 0.12;
-/// The progress, in percent, of a run that has done its work.
-constexpr std::int32_t complete_percent = 100;
-/// The slowness of an executor that is cold after its start: half as slow
-/// again, since its true speed is not known before it has warmed up.
-constexpr std::int32_t cold_slowness = 4;
-/// An executor that is warm sooner than this counts as warm.
-constexpr core::duration min_cold_time{1000};
-
 /// @return the cores of a task, accelerators included at their equivalent
 double core_equivalents(jobs::resources const& task)
 {
@@ -199,6 +187,11 @@
     group.service = job.submission.parameters.service;
     group.count = tasks.size();
     group.task = step.requested_resources();
+    group.expected_run_time =
+        step.is_long_running
+            ? core::duration::max()
+            : run_times.expected_run_time(job.submission.parameters.queue,
+                                          step.estimate);
     group.is_filler = step.is_filler;
     group.is_gang = step.is_gang;
     group.is_rack_local = step.is_rack_local;
@@ -231,21 +224,6 @@
     return result;
 }
 
-/// The members of a gang end together, so one on a fast worker waits at the end
-/// of its work for those on slower ones.
-/// @return whether a member of a gang has done its work, and others have not
-bool awaits_other_members(open_job const& job, assignment const& run)
-{
-    if (run.percent < complete_percent)
-        return false;
-    auto const key = step_key_of(run.order.run.task);
-    return std::any_of(job.assignments.begin(), job.assignments.end(),
-                       [&](auto const& item) {
-                           return step_key_of(item.first) == key &&
-                                  item.second.percent < complete_percent;
-                       });
-}
-
 /// @return the work, in core-seconds, that a stop of the run would lose now
 double lost_core_seconds(open_job const& job, assignment const& run,
                          core::time_point now)
@@ -349,73 +327,4 @@
     return groups;
 }
 
-bool is_stalled(open_job const& job, assignment const& run)
-{
-    if (!run.first_seen_at || run.is_stopping())
-        return false;
-    auto const& step = step_of(job, run.order.run.task);
-    // A filler that its agent throttles is not at fault.
-    if (step.is_long_running || run.share < 100)
-        return false;
-    if (step.is_gang && awaits_other_members(job, run))
-        return false;
-    auto const stall_time = core::duration(
-        static_cast<std::int64_t>(stall_fraction_of_estimate *
-                                  static_cast<double>(step.estimate.count())));
-    // Compared with the time of the newest report, not with the current time:
-    // without reports, missing progress is no sign of a stall.
-    return run.last_seen_at - run.percent_changed_at >
-           std::max(min_stall_time, stall_time);
-}
-
-std::vector<placement::worker>
-collect_workers(worker_map const& workers, job_map const& jobs,
-                placement::worker_health const& health,
-                placement::worker_speed const& speed, core::time_point now,
-                core::duration report_freshness_limit,
-                std::set<std::string> const& evacuated)
-{
-    std::map<std::string, std::size_t> positions;
-    std::vector<placement::worker> result;
-    for (auto const& [agent, view] : workers) {
-        auto const& description = view.report.worker;
-        placement::worker worker;
-        worker.agent = agent;
-        worker.executor = description.executor.id;
-        worker.service = description.service;
-        worker.rack = description.rack;
-        worker.labels = description.labels;
-        worker.capacity = description.capacity;
-        worker.free = description.capacity;
-        worker.free_after_stops = description.capacity;
-        worker.is_accepting =
-            description.state == jobs::worker_state::ready &&
-            now - view.last_report_at < report_freshness_limit &&
-            !health.is_avoided(agent, now) &&
-            !evacuated.contains(description.data_centre);
-        worker.recent_failures = health.recent_failures(agent, now);
-        worker.slowness = speed.slowness(agent);
-        if (view.cold_until > now + min_cold_time)
-            worker.slowness = std::max(worker.slowness, cold_slowness);
-        positions[agent] = result.size();
-        result.push_back(std::move(worker));
-    }
-    for (auto const& [id, job] : jobs) {
-        for (auto const& [task, run] : job.assignments) {
-            auto const position = positions.find(run.order.agent);
-            if (position == positions.end())
-                continue;
-            auto& worker = result[position->second];
-            worker.free -= run.resources;
-            if (!run.is_stopping())
-                worker.free_after_stops -= run.resources;
-            if (is_stalled(job, run))
-                worker.is_accepting = false;
-            if (run.share < 100)
-                worker.throttles_fillers = true;
-        }
-    }
-    return result;
-}
-
 } // namespace sequoiaroute::scheduler
--- a/packages/scheduler/group_builder.hpp
+++ b/packages/scheduler/group_builder.hpp
@@ -2,14 +2,9 @@
 
 #include "jobs/rules.hpp"
 #include "placement/placement_round.hpp"
-#include "placement/worker_health.hpp"
-#include "placement/worker_speed.hpp"
 #include "scheduler/open_job.hpp"
 #include "scheduler/run_time_estimator.hpp"
-#include "scheduler/worker_view.hpp"
 
-#include <memory>
-#include <set>
 #include <string>
 #include <vector>
 
@@ -63,24 +58,4 @@
 std::vector<running_tasks> collect_preemptible_groups(job_map const& jobs,
                                                       core::time_point now);
 
-/// Computes the free resources of every worker and whether it accepts runs.
-/// @param workers the workers, as last reported
-/// @param jobs the jobs whose runs use resources of the workers
-/// @param health excludes or penalises workers on which runs failed
-/// @param speed the speed of the workers
-/// @param now the current time
-/// @param report_freshness_limit a worker whose newest report is this old or
-///        older accepts no new runs
-/// @param evacuated the data centres whose workers accept no new runs
-std::vector<placement::worker>
-collect_workers(worker_map const& workers, job_map const& jobs,
-                placement::worker_health const& health,
-                placement::worker_speed const& speed, core::time_point now,
-                core::duration report_freshness_limit,
-                std::set<std::string> const& evacuated);
-
-/// @return whether a run has made no progress for too long although reports
-///         list it as running
-bool is_stalled(open_job const& job, assignment const& run);
-
 } // namespace sequoiaroute::scheduler
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -1,6 +1,8 @@
 #include "scheduler/scheduler_core.hpp"
 
 #include "scheduler/job_tasks.hpp"
+#include "scheduler/remaining_time.hpp"
+#include "scheduler/worker_collector.hpp"
 
 #include <algorithm>
 #include <utility>
@@ -19,30 +21,6 @@
 /// Non-urgent groups this close to their latest start may use the urgent
 /// headroom.
 constexpr core::duration headroom_use_margin{3000};
-/// Progress below this, in percent, is too little to extrapolate from.
-constexpr std::int32_t min_rate_advance_percent = 5;
-
-/// @return how much longer a run is expected to take; an hour if it is
-///         long-running. Extrapolates from its progress or, without enough of
-///         it, uses the expected run time.
-core::duration estimate_remaining(open_job const& job, assignment const& run,
-                                  run_time_estimator const& run_times,
-                                  core::time_point now)
-{
-    auto const& step = step_of(job, run.order.run.task);
-    if (step.is_long_running)
-        return core::duration(std::chrono::hours(1));
-    auto const advance = run.percent - run.first_seen_percent;
-    if (!run.first_seen_at || advance < min_rate_advance_percent) {
-        auto const full_run_time = run_times.expected_run_time(
-            job.submission.parameters.queue, step.estimate);
-        return full_run_time * (100 - run.percent) / 100;
-    }
-    // The progress is as old as the report that listed it.
-    auto const observed_time = run.last_seen_at - *run.first_seen_at;
-    auto const remaining_then = observed_time * (100 - run.percent) / advance;
-    return remaining_then - (now - run.last_seen_at);
-}
 
 } // namespace
 
@@ -395,7 +373,8 @@
                 continue;
             auto const worker_end_time =
                 view.last_report_at + view.report.worker.remaining;
-            if (now + estimate_remaining(job, run, statistics_.run_times, now) >
+            if (now + expected_remaining_time(job, run, statistics_.run_times,
+                                              now) >
                 worker_end_time)
                 stop_step(job, task, "worker leaves before the end");
         }
@@ -411,9 +390,10 @@
         collect_waiting_groups(jobs_, *rules_, statistics_.run_times, now);
     if (waiting.empty())
         return;
-    auto const workers = collect_workers(
-        workers_, jobs_, statistics_.health, statistics_.speed, now,
-        limits_.report_freshness_limit, start_limits_.evacuated_data_centres);
+    auto const workers = collect_workers({workers_, jobs_, statistics_,
+                                          limits_.report_freshness_limit,
+                                          start_limits_.evacuated_data_centres},
+                                         now);
     apply_urgent_headroom(waiting, workers, now);
     // Only urgent groups may preempt others.
     bool const can_preempt =
