scheduler: Place work that can be in time before late work

Cause: work that is not urgent was placed by its latest start alone. Steps that were done counted as time that a job still needs.

Change: scheduler/job_objective says whether a job can meet its objective, is late but of use, or of no use any more, from the steps that are left.

--- a/packages/scheduler/group_builder.cpp
+++ b/packages/scheduler/group_builder.cpp
@@ -1,6 +1,5 @@
 #include "scheduler/group_builder.hpp"
 
-#include "core/codec.hpp"
 #include "scheduler/job_tasks.hpp"
 
 #include <algorithm>
@@ -25,6 +24,9 @@
 /// an urgent job without a guarantee: a base, plus a multiple of its own work.
 constexpr double preemption_budget_base = 300;
 constexpr double preemption_budget_factor = 1.25;
+/// Work that can no longer meet its objective waits behind other work for this
+/// long at most.
+constexpr core::duration max_deferral{60'000};
 /// The cores to which one accelerator is equivalent when work is compared.
 constexpr double cores_per_accelerator = 8;
 /// Tasks with checkpoints save one at least this often, in seconds, so no more
@@ -52,20 +54,6 @@
     return preemption_budget_base + preemption_budget_factor * work;
 }
 
-/// @return the latest start with which a job is expected to meet its completion
-///         objective
-core::time_point latest_start(open_job const& job,
-                              run_time_estimator const& run_times)
-{
-    auto const critical_path = run_times.expected_critical_path(job.submission);
-    auto const objective =
-        std::min(job.submission.parameters.objective_factor *
-                     static_cast<double>(critical_path.count()),
-                 static_cast<double>(core::max_document_duration.count()));
-    return job.accepted_at + job.submission.parameters.objective_slack +
-           core::duration(static_cast<std::int64_t>(objective)) - critical_path;
-}
-
 /// @return the accelerators that the tasks of the first step use together
 std::int64_t accelerators_of_first_step(jobs::job_spec const& spec)
 {
@@ -169,7 +157,6 @@
 {
     bool is_guaranteed = false;
     core::time_point latest_start{};
-    bool is_late = false; ///< cannot meet its objective any more
 };
 
 waiting_tasks make_waiting_tasks(open_job const& job, step_key const& key,
@@ -177,10 +164,21 @@
                                  job_urgency const& urgency,
                                  run_time_estimator const& run_times,
                                  core::time_point waiting_since,
+    usefulness use = usefulness::timely;
                                  core::time_point now)
 {
     auto const& step =
         job.submission.spec.steps[static_cast<std::size_t>(key.step)];
+/// @param use the use of the job's result if it is completed now
+/// @param waited how long the group has waited
+/// @return by what the group is placed relative to others of its class: those
+///         that can meet their objectives come first, those that are of no use
+///         last. A group that has waited long comes first, so that none starves
+usefulness placement_rank(usefulness use, core::duration waited)
+{
+    return waited > max_deferral ? usefulness::timely : use;
+}
+
     auto const waited = now - waiting_since;
     waiting_tasks result;
     auto& group = result.group;
@@ -219,7 +217,7 @@
             preemption_budget_of(job.submission, run_times);
     result.tasks = std::move(tasks);
     result.priority_class = priority_class_of(step, group);
-    result.is_late = group.priority == 0 && urgency.is_late;
+    result.rank = placement_rank(urgency.use, waited);
     result.latest_start = urgency.latest_start;
     return result;
 }
@@ -263,8 +261,9 @@
             continue;
         job_urgency urgency;
         urgency.is_guaranteed = guaranteed.contains(&job);
-        urgency.latest_start = latest_start(job, run_times);
-        urgency.is_late = now > urgency.latest_start;
+        auto const objective = objective_of(job, run_times);
+        urgency.latest_start = objective.latest_start;
+        urgency.use = objective.usefulness_at(now);
         for (auto const& [number, occurrence] : job.progress.occurrences) {
             for (std::size_t index = 0; index < occurrence.steps.size();
                  ++index) {
@@ -292,9 +291,9 @@
     }
     std::stable_sort(groups.begin(), groups.end(),
                      [](auto const& left, auto const& right) {
-                         return std::tuple(left.priority_class, left.is_late,
+                         return std::tuple(left.priority_class, left.rank,
                                            left.latest_start) <
-                                std::tuple(right.priority_class, right.is_late,
+                                std::tuple(right.priority_class, right.rank,
                                            right.latest_start);
                      });
     return groups;
--- a/packages/scheduler/group_builder.hpp
+++ b/packages/scheduler/group_builder.hpp
@@ -2,6 +2,7 @@
 
 #include "jobs/rules.hpp"
 #include "placement/placement_round.hpp"
+#include "scheduler/job_objective.hpp"
 #include "scheduler/open_job.hpp"
 #include "scheduler/run_time_estimator.hpp"
 
@@ -19,9 +20,9 @@
     /// by a guarantee, 1 for other urgent groups and for long-running tasks, 2
     /// for the rest.
     std::int64_t priority_class = 0;
-    /// Urgent, and can no longer meet its objective: placed after the groups of
-    /// its class that still can.
-    bool is_late = false;
+    /// Groups of a class that can meet their objectives are placed before those
+    /// that are late, and these before those that are of no use any more.
+    usefulness rank = usefulness::timely;
     /// The latest start of the job with which it meets its objective.
     core::time_point latest_start{};
 };
