placement: Preempt by what a stop costs callers, not by lost work alone

Cause: urgent work stopped the runs that had done least, whose jobs are often the ones that are still in time; urgent work that was late already made others late as well; and one job could be stopped again and again.

Change: runs are stopped first whose jobs do not become late by it. Urgent work that cannot meet its objective makes no other job late, and the tasks of a job are stopped twice each on average at most.

Result: tests in victim_search and scheduler_core replay late urgent work, urgent work that keeps arriving, and jobs that are in time beside others that are not.

--- a/packages/placement/placement_round.cpp
+++ b/packages/placement/placement_round.cpp
@@ -44,6 +44,9 @@
             victim candidate;
             candidate.priority = group.priority;
             candidate.loss_core_seconds = group.loss_core_seconds;
+            candidate.job = group.job;
+            candidate.makes_job_late = group.makes_job_late;
+            candidate.is_protected = group.is_protected;
             for (auto const& member : group.members) {
                 if (auto const found = indexes.find(member.agent);
                     found != indexes.end())
@@ -139,7 +142,6 @@
         if (group.is_gang)
             return preempt_once(group);
         auto single = group;
-        single.count = 1;
         while (group.count > 0) {
             single.count = 1;
             if (!preempt_once(single))
@@ -195,8 +197,7 @@
         std::optional<victim_set> best;
         for (auto const& set : sets) {
             auto found = find_victims(workers_, set, group, running_);
-            if (found &&
-                (!best || found->loss_core_seconds < best->loss_core_seconds))
+            if (found && (!best || costs_less(*found, *best)))
                 best = std::move(found);
         }
         return best;
--- a/packages/placement/placement_round.hpp
+++ b/packages/placement/placement_round.hpp
@@ -98,6 +98,8 @@
 {
     struct member
     {
+    /// Whether it may preempt runs whose jobs miss their objectives by that.
+    bool may_make_jobs_late = true;
         std::string agent;
         jobs::resources task;
     };
@@ -114,6 +116,11 @@
     std::size_t group = 0;           ///< index into the waiting groups
     std::vector<std::string> agents; ///< one for each placed task
 };
+    std::size_t job = 0; ///< number of its job among those of the round
+    /// Its job is expected to meet its objective, and would not after a stop.
+    bool makes_job_late = false;
+    /// Its job has been preempted often; only guaranteed work may stop it.
+    bool is_protected = false;
 
 struct round_result
 {
--- a/packages/placement/victim_search.cpp
+++ b/packages/placement/victim_search.cpp
@@ -1,6 +1,8 @@
 #include "placement/victim_search.hpp"
 
 #include <algorithm>
+#include <set>
+#include <tuple>
 
 namespace sequoiaroute::placement {
 
@@ -74,6 +76,12 @@
 
 } // namespace
 
+bool costs_less(victim_set const& left, victim_set const& right)
+{
+    return std::tuple(left.jobs_made_late, left.loss_core_seconds) <
+           std::tuple(right.jobs_made_late, right.loss_core_seconds);
+}
+
 std::optional<victim_set> find_victims(std::span<worker const> workers,
                                        candidate_set const& candidates,
                                        waiting_group const& group,
@@ -83,15 +91,22 @@
     std::vector<std::size_t> eligible;
     for (std::size_t index = 0; index < running.size(); ++index) {
         auto const& candidate = running[index];
-        if (!candidate.is_stopped && candidate.priority > group.priority &&
+        bool const is_spared =
+            (candidate.is_protected && !group.is_guaranteed) ||
+            (candidate.makes_job_late && !group.may_make_jobs_late);
+        if (!candidate.is_stopped && !is_spared &&
+            candidate.priority > group.priority &&
             simulation.is_affected_by(candidate))
             eligible.push_back(index);
     }
-    std::sort(eligible.begin(), eligible.end(),
-              [&](std::size_t left, std::size_t right) {
-                  return running[left].loss_core_seconds <
-                         running[right].loss_core_seconds;
-              });
+    std::sort(
+        eligible.begin(), eligible.end(),
+        [&](std::size_t left, std::size_t right) {
+            auto const& first = running[left];
+            auto const& second = running[right];
+            return std::tuple(first.makes_job_late, first.loss_core_seconds) <
+                   std::tuple(second.makes_job_late, second.loss_core_seconds);
+        });
     std::vector<std::size_t> chosen;
     for (auto const index : eligible) {
         chosen.push_back(index);
@@ -103,6 +118,7 @@
         return std::nullopt;
     // Drop the victims that are not needed, most expensive first.
     victim_set result;
+    std::set<std::size_t> late_jobs;
     for (auto next = chosen.rbegin(); next != chosen.rend(); ++next) {
         auto const& candidate = running[*next];
         simulation.undo_eviction(candidate);
@@ -111,7 +127,10 @@
         simulation.evict(candidate);
         result.victims.push_back(*next);
         result.loss_core_seconds += candidate.loss_core_seconds;
+        if (candidate.makes_job_late)
+            late_jobs.insert(candidate.job);
     }
+    result.jobs_made_late = late_jobs.size();
     return result;
 }
 
--- a/packages/placement/victim_search.hpp
+++ b/packages/placement/victim_search.hpp
@@ -22,6 +22,9 @@
     std::int32_t priority = 0;
     double loss_core_seconds = 0;
     bool is_stopped = false; ///< already preempted in this round
+    std::size_t job = 0;     ///< as in running_group
+    bool makes_job_late = false;
+    bool is_protected = false;
 };
 
 /// Running groups to preempt, and the work that this discards.
@@ -29,11 +32,18 @@
 {
     std::vector<std::size_t> victims; ///< indexes of running groups
     double loss_core_seconds = 0;
+    std::size_t jobs_made_late = 0;
 };
 
+/// @return whether preempting one set costs others less than another one:
+///         first by the jobs that miss their objectives, then by the work
+bool costs_less(victim_set const& left, victim_set const& right);
+
 /// Finds running groups of lower priority whose preemption lets a waiting group
 /// fit into a candidate set. Takes the cheapest first, then spares those that
-/// turn out not to be needed; cheaper combinations may exist.
+/// turn out not to be needed; cheaper combinations may exist. Runs whose jobs
+/// would still meet their objectives, or have missed them, cost less than those
+/// whose jobs would become late.
 ///
 /// Gangs that need whole workers may arrive in a burst while hundreds of small
 /// tasks run. The free resources are therefore updated per worker as victims
--- a/packages/scheduler/group_builder.cpp
+++ b/packages/scheduler/group_builder.cpp
@@ -1,6 +1,7 @@
 #include "scheduler/group_builder.hpp"
 
 #include "scheduler/job_tasks.hpp"
+#include "scheduler/remaining_time.hpp"
 
 #include <algorithm>
 #include <limits>
@@ -24,6 +25,11 @@
 /// an urgent job without a guarantee: a base, plus a multiple of its own work.
 constexpr double preemption_budget_base = 300;
 constexpr double preemption_budget_factor = 1.25;
+/// The tasks of a job are stopped this often on average for urgent work without
+/// a guarantee, so that it completes some time.
+constexpr std::int64_t max_preemptions_per_task = 2;
+/// A stopped run waits about this long for its next start.
+constexpr core::duration restart_delay{1000};
 /// Work that can no longer meet its objective waits behind other work for this
 /// long at most.
 constexpr core::duration max_deferral{60'000};
@@ -170,6 +176,15 @@
     auto const& step =
         job.submission.spec.steps[static_cast<std::size_t>(key.step)];
 /// @param use the use of the job's result if it is completed now
+waiting_tasks make_waiting_tasks(open_job const& job, step_key const& key,
+                                 std::vector<jobs::task_id> tasks,
+                                 job_urgency const& urgency,
+                                 run_time_estimator const& run_times,
+                                 core::time_point waiting_since,
+                                 core::time_point now)
+{
+    auto const& step =
+        job.submission.spec.steps[static_cast<std::size_t>(key.step)];
 /// @param waited how long the group has waited
 /// @return by what the group is placed relative to others of its class: those
 ///         that can meet their objectives come first, those that are of no use
@@ -230,6 +245,24 @@
         return 0;
     auto const& step = step_of(job, run.order.run.task);
     auto seconds =
+/// @return whether the job of a run is expected to meet its objective, but not
+///         if the run is stopped and its work that is not saved is done again
+bool would_miss_objective(open_job const& job, assignment const& run,
+                          core::time_point due,
+                          run_time_estimator const& run_times,
+                          core::time_point now)
+{
+    auto const remaining = expected_remaining_time(job, run, run_times, now);
+    if (now + remaining > due)
+        return false;
+    auto const& step = step_of(job, run.order.run.task);
+    if (step.has_checkpoints)
+        return now + remaining + restart_delay > due;
+    auto const run_time = run_times.expected_run_time(
+        job.submission.parameters.queue, step.estimate);
+    return now + run_time + restart_delay > due;
+}
+
         static_cast<double>((now - *run.first_seen_at).count()) / 1000;
     if (step.has_checkpoints)
         seconds = std::min(seconds, max_checkpoint_age_s);
@@ -299,8 +332,15 @@
     return groups;
 }
 
-std::vector<running_tasks> collect_preemptible_groups(job_map const& jobs,
-                                                      core::time_point now)
+std::vector<running_tasks>
+collect_preemptible_groups(job_map const& jobs,
+    std::size_t number = 0;
+                           run_time_estimator const& run_times,
+        ++number;
+        auto const due = job.assignments.empty()
+                             ? core::time_point{}
+                             : objective_of(job, run_times).due;
+                           core::time_point now)
 {
     std::vector<running_tasks> groups;
     for (auto const& [id, job] : jobs) {
@@ -314,9 +354,15 @@
             if (!step.is_gang || found == gangs.end()) {
                 gangs[key] = groups.size();
                 groups.emplace_back();
-                groups.back().group.priority =
-                    job.submission.parameters.priority;
+                auto& group = groups.back().group;
+                group.priority = job.submission.parameters.priority;
+                group.job = number;
+                group.is_protected = job.preempted_runs >=
+                                     max_preemptions_per_task *
+                                         jobs::task_count(job.submission.spec);
             }
+            if (would_miss_objective(job, run, due, run_times, now))
+                running.group.makes_job_late = true;
             auto& running = groups[gangs[key]];
             running.tasks.push_back(task);
             running.group.members.push_back({run.order.agent, run.resources});
--- a/packages/scheduler/group_builder.hpp
+++ b/packages/scheduler/group_builder.hpp
@@ -56,7 +56,12 @@
 
 /// Collects the runs that may be preempted. Excludes runs that are being
 /// stopped and steps whose absences the customer has limited.
-std::vector<running_tasks> collect_preemptible_groups(job_map const& jobs,
-                                                      core::time_point now);
+/// @param jobs all jobs
+/// @param run_times estimates run times
+/// @param now the current time
+std::vector<running_tasks>
+collect_preemptible_groups(job_map const& jobs,
+                           run_time_estimator const& run_times,
+                           core::time_point now);
 
 } // namespace sequoiaroute::scheduler
--- a/packages/scheduler/open_job.hpp
+++ b/packages/scheduler/open_job.hpp
@@ -67,6 +67,8 @@
     /// When a run of a step last failed or stalled, by agent.
     std::map<step_key, std::map<std::string, core::time_point>>
         failed_at_by_agent;
+    /// How many of its runs were stopped for urgent work.
+    std::int64_t preempted_runs = 0;
     /// Answers of the advice service; only for queues that need its tickets.
     std::map<step_key, step_advice> advice;
     std::optional<core::time_point> finished_at;
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -400,8 +400,10 @@
         std::any_of(waiting.begin(), waiting.end(), [](auto const& tasks) {
             return tasks.group.preemption_budget > 0;
         });
-    auto const running = can_preempt ? collect_preemptible_groups(jobs_, now)
-                                     : std::vector<running_tasks>();
+    auto const running =
+        can_preempt
+            ? collect_preemptible_groups(jobs_, statistics_.run_times, now)
+            : std::vector<running_tasks>();
     std::vector<placement::waiting_group> waiting_groups;
     waiting_groups.reserve(waiting.size());
     for (auto const& tasks : waiting)
@@ -428,6 +430,7 @@
 }
 
 /// Makes non-urgent groups leave the urgent headroom free, unless waiting could
+            ++job.preempted_runs;
 /// make them miss their latest start. Groups that have missed it wait as well.
 /// The headroom is a share of the workers that accept runs: if the others
 /// counted, it could exceed all that is left after most workers have gone.
--- a/tests/placement/victim_search_test.cpp
+++ b/tests/placement/victim_search_test.cpp
@@ -46,6 +46,70 @@
     return {{{worker, one_accelerator}}, priority, loss, false};
 }
 
+/// @return a victim of a job that would miss its objective if it were stopped
+victim make_timely_victim(std::size_t worker, double loss, std::size_t job)
+{
+    auto result = make_victim(worker, loss);
+    result.makes_job_late = true;
+    result.job = job;
+    return result;
+}
+
+// Urgent work arrives while other jobs are in time. Guards against making a job
+// late for it although one that is late already, or has time to spare, could be
+// stopped.
+TEST(victim_search, spares_jobs_that_would_become_late)
+{
+    auto const workers = make_workers(2);
+    std::vector<victim> const running{make_timely_victim(0, 10, 1),
+                                      make_victim(1, 500)};
+    auto const found =
+        find_victims(workers, all_candidates(2), make_gang(1, 1), running);
+    ASSERT_TRUE(found);
+    EXPECT_EQ(found->victims, (std::vector<std::size_t>{1}));
+    EXPECT_EQ(found->jobs_made_late, 0U);
+}
+
+TEST(victim_search, counts_each_job_that_becomes_late_once)
+{
+    auto const workers = make_workers(3);
+    std::vector<victim> const running{make_timely_victim(0, 10, 1),
+                                      make_timely_victim(1, 10, 1),
+                                      make_timely_victim(2, 10, 2)};
+    auto const found =
+        find_victims(workers, all_candidates(3), make_gang(3, 1), running);
+    ASSERT_TRUE(found);
+    EXPECT_EQ(found->victims.size(), 3U);
+    EXPECT_EQ(found->jobs_made_late, 2U);
+}
+
+// Urgent work is late already. Guards against making others late for it.
+TEST(victim_search, makes_no_job_late_for_a_group_that_is_late)
+{
+    auto const workers = make_workers(2);
+    std::vector<victim> const running{make_timely_victim(0, 10, 1),
+                                      make_victim(1, 500)};
+    auto gang = make_gang(2, 1);
+    EXPECT_TRUE(find_victims(workers, all_candidates(2), gang, running));
+    gang.may_make_jobs_late = false;
+    EXPECT_FALSE(find_victims(workers, all_candidates(2), gang, running));
+    gang.count = 1;
+    EXPECT_TRUE(find_victims(workers, all_candidates(2), gang, running));
+}
+
+// Guards against a job that is stopped for urgent work again and again, and
+// against a guarantee that is not kept because of that.
+TEST(victim_search, spares_protected_jobs_unless_the_group_is_guaranteed)
+{
+    auto const workers = make_workers(1);
+    std::vector<victim> running{make_victim(0, 10)};
+    running[0].is_protected = true;
+    auto gang = make_gang(1, 1);
+    EXPECT_FALSE(find_victims(workers, all_candidates(1), gang, running));
+    gang.is_guaranteed = true;
+    EXPECT_TRUE(find_victims(workers, all_candidates(1), gang, running));
+}
+
 // Victims are chosen in order of their loss. Guards against stopping one that a
 // later choice has made unnecessary.
 TEST(victim_search, spares_victims_that_are_not_needed)
--- a/tests/scheduler/scheduler_core_test.cpp
+++ b/tests/scheduler/scheduler_core_test.cpp
@@ -657,6 +657,87 @@
     EXPECT_EQ(next[0].run.task.job_id, "in-time");
 }
 
+// More urgent work has arrived than fits. Guards against a job that becomes
+// late for a gang that misses its objective all the same.
+TEST_F(scheduler_core_test, makes_no_job_late_for_late_urgent_work)
+{
+    add_worker("a");
+    add_job("patient", 1, 8);
+    auto const patient = decide_starts();
+    ASSERT_EQ(patient.size(), 1U);
+    now_ += 22s;
+    report_running(patient[0], 50);
+    core_.add_submission(make_job("late", 1, 8, true, 0), now_ - 60s);
+    EXPECT_TRUE(orders(decide(), stops).empty());
+    add_job("in-time", 1, 8, true, 0);
+    EXPECT_EQ(orders(decide(), stops).size(), 1U);
+}
+
+// Urgent work keeps arriving. Guards against a job that never completes because
+// it is stopped for each of them.
+TEST_F(scheduler_core_test, preempts_a_job_a_limited_number_of_times)
+{
+    add_worker("a");
+    add_job("patient", 1, 8);
+    std::size_t preemptions = 0;
+    for (int round = 0; round < 5; ++round) {
+        auto const running = decide_starts();
+        ASSERT_EQ(running.size(), 1U);
+        report_running(running[0], 5);
+        auto const urgent_id = "urgent-" + std::to_string(round);
+        add_job(urgent_id, 1, 8, true, 0);
+        if (orders(decide(), stops).empty())
+            break;
+        ++preemptions;
+        report_end(running[0], jobs::run_end::stopped);
+        auto const urgent = decide_starts();
+        ASSERT_EQ(urgent.size(), 1U);
+        EXPECT_EQ(urgent[0].run.task.job_id, urgent_id);
+        report_end(urgent[0], jobs::run_end::done);
+        now_ += 10s;
+        add_worker("a");
+    }
+    EXPECT_EQ(preemptions, 2U);
+}
+
+// Twice as much work arrives as fits. Guards against placing what is late
+// first, which makes all that follows late as well.
+TEST_F(scheduler_core_test, places_work_that_can_be_in_time_before_late_work)
+{
+    add_worker("a");
+    core_.add_submission(make_job("late", 1, 8), now_ - 40s);
+    core_.add_submission(make_job("useless", 1, 8), now_ - 200s);
+    add_job("in-time", 1, 8);
+    std::vector<std::string> order;
+    for (int round = 0; round < 3; ++round) {
+        auto const started = decide_starts();
+        ASSERT_EQ(started.size(), 1U);
+        order.push_back(started[0].run.task.job_id);
+        report_end(started[0], jobs::run_end::done);
+    }
+    EXPECT_EQ(order, (std::vector<std::string>{"in-time", "late", "useless"}));
+}
+
+// Guards against late work that starves under a stream of work that can be in
+// time.
+TEST_F(scheduler_core_test, places_late_work_after_a_bounded_time)
+{
+    add_worker("a");
+    core_.add_submission(make_job("late", 1, 8), now_ - 40s);
+    for (int second = 0; second <= 70; second += 10) {
+        auto const id = "in-time-" + std::to_string(second);
+        add_job(id, 1, 8);
+        add_worker("a");
+        auto const started = decide_starts();
+        ASSERT_EQ(started.size(), 1U);
+        if (started[0].run.task.job_id == "late")
+            return;
+        now_ += 10s;
+        report_end(started[0], jobs::run_end::done);
+    }
+    FAIL() << "the late job has not started within 70 s";
+}
+
 // An urgent gang has just ended, and non-urgent tasks wait for its worker.
 // Guards against preempting them for the next gang, and against non-urgent work
 // that is late because of the headroom.
