soak: Evacuate data centres

Cause: the soak knew one data centre and no evacuations, so that no run of real processes showed that nothing starts in an evacuated one.

Change: executors belong to two data centres.

All faults see two data centres now, which draws no other random numbers.

--- a/tests/soak/executor_server.cpp
+++ b/tests/soak/executor_server.cpp
@@ -194,7 +194,7 @@
     auto const& capacity = model_.capacity();
     return {{"Service", "s"},
             {"Addr", endpoints_.own},
-            {"Zone", "z"},
+            {"Zone", rack_},
             {"State", is_draining_ ? "draining" : "ready"},
             {"Capacity",
              {{"Cpu", capacity.millicores},
@@ -286,18 +286,18 @@
     if (faults.order_refusal != 0)
         return respond(answer(faults.order_refusal, json::object()));
     if (!random_.happens(faults.late_order_probability))
-        return execute_order(request.path, request.body, respond);
+        return execute_order(request.path, request.body, false, respond);
     late_order_timers_.push_back(loop_.after(
         random_.between(min_late_delay, max_late_delay),
         [this, path = request.path, body = request.body,
          incarnation = model_.incarnation()] {
             if (model_.is_up() && model_.incarnation() == incarnation)
-                execute_order(path, body, [](auto const&) {});
+                execute_order(path, body, true, [](auto const&) {});
         }));
 }
 
 void executor_server::execute_order(std::string const& path,
-                                    std::string const& text,
+                                    std::string const& text, bool is_late,
                                     event::http_responder const& respond)
 {
     model_.advance();
@@ -311,6 +311,8 @@
     using start_result = executor_model::start_result;
     auto const result =
         model_.start(run, body.at("Spec"), body.at("DeadlineMs"));
+    if (result == start_result::started && !is_late && on_timely_start)
+        on_timely_start(run, rack_);
     if (result == start_result::started)
         return respond(answer(200, reply));
     reply["Reason"] = result == start_result::old ? "old" : "late";
--- a/tests/soak/executor_server.hpp
+++ b/tests/soak/executor_server.hpp
@@ -7,6 +7,7 @@
 #include "soak/executor_model.hpp"
 #include "soak/random_source.hpp"
 
+#include <functional>
 #include <list>
 #include <memory>
 #include <string>
@@ -88,6 +89,10 @@
     void reset_connections() { close_listener(); }
 
     executor_faults faults; ///< the faults to inject from now on
+    /// Called when a run starts with its order, not late; receives the data
+    /// centre as well, which has the name of the rack.
+    std::function<void(jobs::run_id const&, std::string const&)>
+        on_timely_start;
 
 private:
     /// A long poll of the agent for ends of runs.
@@ -122,8 +127,9 @@
     void serve_order(event::http_request const& request,
                      event::http_responder const& respond);
     /// Executes an order to start or stop a run.
+    /// @param is_late whether it is executed long after it was received
     void execute_order(std::string const& path, std::string const& body,
-                       event::http_responder const& respond);
+                       bool is_late, event::http_responder const& respond);
     /// Extends the lease and acknowledges ends. Responds with the lists of
     /// runs, after a wait if the agent asks for it and no end is listed.
     void hold(std::string const& body, event::http_responder const& respond);
--- a/tests/soak/fault_injector.cpp
+++ b/tests/soak/fault_injector.cpp
@@ -1,5 +1,6 @@
 #include "soak/fault_injector.hpp"
 
+#include <array>
 #include <csignal>
 
 #include <fmt/format.h>
@@ -40,6 +41,13 @@
 constexpr std::size_t max_disturbed_workers = 4;
 constexpr core::duration max_worker_downtime{1500};
 constexpr double crash_probability = 0.7;
+// Shorter ones end before any start is forbidden for certain.
+constexpr core::duration min_evacuation{4000};
+constexpr core::duration max_evacuation{12'000};
+constexpr core::duration min_evacuation_gap{20};
+constexpr core::duration max_evacuation_gap{3000};
+/// As the executors name them.
+constexpr std::array<char const*, 2> data_centres{"r0", "r1"};
 constexpr double injected_loss_probability = 0.35;
 constexpr double injected_late_probability = 0.25;
 
@@ -63,6 +71,9 @@
         return begin_stale_reads();
     if (selected_ == selection::cut_off_workers)
         return begin_worker_cuts();
+    if (selected_ == selection::evacuations &&
+        next_evacuation_timer_ == nullptr)
+        begin_evacuation();
     bool const is_long =
         selected_ == selection::processes || selected_ == selection::machines;
     auto const factor = is_long ? process_fault_delay_factor : 1;
@@ -153,6 +164,22 @@
         });
 }
 
+void fault_injector::begin_evacuation()
+{
+    std::string const data_centre =
+        data_centres.at(random_.below(data_centres.size()));
+    auto const duration = random_.between(min_evacuation, max_evacuation);
+    system_.evacuate(data_centre);
+    schedule_.begin(
+        "evacuation",
+        [this, data_centre] { system_.end_evacuation(data_centre); }, duration);
+    auto const gap = random_.between(min_evacuation_gap, max_evacuation_gap);
+    next_evacuation_timer_ = loop_.after(duration + gap, [this] {
+        if (!is_healed_)
+            begin_evacuation();
+    });
+}
+
 void fault_injector::cut_off_worker(std::size_t index)
 {
     system_.set_worker_cut_off(index, true);
@@ -357,7 +384,10 @@
 {
     is_healed_ = true;
     next_fault_timer_.reset();
+    next_evacuation_timer_.reset();
     schedule_.clear();
+    for (auto const* data_centre : data_centres)
+        system_.end_evacuation(data_centre);
     executor_faults_.heal();
     process_faults_.heal();
     system_.store().silent_feed_prefix.reset();
--- a/tests/soak/fault_injector.hpp
+++ b/tests/soak/fault_injector.hpp
@@ -34,6 +34,8 @@
         processes, ///< those of process_fault_injector
         machines,  ///< those of machine_fault_injector
         mixed,     ///< all, executors and processes
+        /// One of two data centres is evacuated again and again, beside all.
+        evacuations,
     };
 
     /// @param loop runs the timers
@@ -67,6 +69,8 @@
     void begin_stale_reads();
     /// Cuts some workers off, disturbs others, and schedules the next time.
     void begin_worker_cuts();
+    /// Evacuates a data centre, and schedules the next time.
+    void begin_evacuation();
     /// Cuts a worker off from the store and from the other workers.
     void cut_off_worker(std::size_t index);
     /// Makes a worker fail runs or crash, which breaks its gangs.
@@ -97,6 +101,7 @@
     process_fault_injector process_faults_;
     machine_fault_injector machine_faults_;
     std::unique_ptr<event::timer> next_fault_timer_;
+    std::unique_ptr<event::timer> next_evacuation_timer_;
 };
 
 } // namespace sequoiaroute::soak
--- a/tests/soak/invariant_checker.cpp
+++ b/tests/soak/invariant_checker.cpp
@@ -103,6 +103,28 @@
     task.running[run] = executor;
 }
 
+void invariant_checker::on_evacuation(std::string const& data_centre)
+{
+    evacuated_since_.emplace(data_centre, clock_.now());
+}
+
+void invariant_checker::on_evacuation_end(std::string const& data_centre)
+{
+    evacuated_since_.erase(data_centre);
+}
+
+void invariant_checker::on_timely_start(jobs::run_id const& run,
+                                        std::string const& data_centre)
+{
+    auto const found = evacuated_since_.find(data_centre);
+    if (found == evacuated_since_.end() ||
+        clock_.now() - found->second <= evacuation_bound)
+        return;
+    report(fmt::format("{} was started in {}, which was evacuated {} ms before",
+                       to_text(run), data_centre,
+                       (clock_.now() - found->second).count()));
+}
+
 void invariant_checker::on_stop(run_history::key const& stopped)
 {
     history_.record_stop(stopped);
--- a/tests/soak/invariant_checker.hpp
+++ b/tests/soak/invariant_checker.hpp
@@ -63,6 +63,19 @@
                   std::string const& payload, jobs::resources const& in_use,
                   jobs::resources const& capacity);
 
+    /// How long after an evacuation runs may still start in its data centre.
+    core::duration evacuation_bound{5000};
+
+    /// The evacuation of a data centre has been stored.
+    void on_evacuation(std::string const& data_centre);
+
+    /// The evacuation of a data centre has been withdrawn.
+    void on_evacuation_end(std::string const& data_centre);
+
+    /// A run has started in a data centre, with its order and not late.
+    void on_timely_start(jobs::run_id const& run,
+                         std::string const& data_centre);
+
     /// An executor has received the first order to stop a current run.
     void on_stop(run_history::key const& stopped);
 
@@ -132,6 +145,8 @@
     std::map<jobs::task_id, task_record> tasks_;
     /// All runs that ended as done, by task.
     std::map<jobs::task_id, std::set<jobs::run_id>> done_runs_;
+    /// Since when data centres are evacuated.
+    std::map<std::string, core::time_point> evacuated_since_;
     std::vector<violation> violations_;
     std::size_t start_count_ = 0;
 };
--- a/tests/soak/invariant_checker_test.cpp
+++ b/tests/soak/invariant_checker_test.cpp
@@ -96,5 +96,22 @@
                     "end -, acknowledged -"));
 }
 
+// Guards against a check that misses starts in an evacuated data centre, or
+// counts those within the bound or after its end.
+TEST_F(invariant_checker_test, finds_starts_in_an_evacuated_data_centre)
+{
+    checker_.on_evacuation("r0");
+    clock_.advance(core::duration(5000));
+    checker_.on_timely_start(first_.run, "r0");
+    clock_.advance(core::duration(1));
+    checker_.on_timely_start(first_.run, "r1");
+    EXPECT_TRUE(checker_.violations().empty());
+    checker_.on_timely_start(first_.run, "r0");
+    EXPECT_EQ(checker_.violations().size(), 1U);
+    checker_.on_evacuation_end("r0");
+    checker_.on_timely_start(first_.run, "r0");
+    EXPECT_EQ(checker_.violations().size(), 1U);
+}
+
 } // namespace
 } // namespace sequoiaroute::soak
--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -27,7 +27,7 @@
 ABSL_FLAG(std::size_t, workers, 4, "number of workers");
 ABSL_FLAG(std::string, faults, "all",
           "all, store_outages, stale_reads, cut_off_workers, executors, "
-          "processes, machines or mixed; see README.md");
+          "processes, machines, mixed or evacuations; see README.md");
 ABSL_FLAG(int, lease_ms, 2000, "the longest lease that executors grant");
 ABSL_FLAG(int, stop_ms, 300, "the longest time that executors take for a stop");
 ABSL_FLAG(int, work_ms, 2500, "the longest work time of a task");
@@ -82,7 +82,8 @@
         {"executors", fault_selection::executors},
         {"processes", fault_selection::processes},
         {"machines", fault_selection::machines},
-        {"mixed", fault_selection::mixed}};
+        {"mixed", fault_selection::mixed},
+        {"evacuations", fault_selection::evacuations}};
     auto const found = selections.find(name);
     if (found == selections.end())
         return std::nullopt;
@@ -218,9 +219,9 @@
         return EXIT_FAILURE;
     auto const faults = parse_faults(absl::GetFlag(FLAGS_faults));
     if (!faults) {
-        fmt::print(
-            "--faults must be all, store_outages, stale_reads, "
-            "cut_off_workers, executors, processes, machines or mixed\n");
+        fmt::print("--faults must be all, store_outages, stale_reads, "
+                   "cut_off_workers, executors, processes, machines, mixed or\n"
+                   "evacuations\n");
         return EXIT_FAILURE;
     }
     if (absl::GetFlag(FLAGS_processor_share) <= 0) {
--- a/tests/soak/test_system.cpp
+++ b/tests/soak/test_system.cpp
@@ -139,15 +139,16 @@
     };
     auto const settings = write_settings(
         added.name,
-        fmt::format(
-            "[process]\nnode = {}\n[listen]\ncustomers = {}\n"
-            "readiness = {}\nentries = {}\nmetrics = {}\n[store]\n"
-            "address = {}\n[bounds]\nlease = {}ms\nstop = {}ms\n"
-            "grace = 5s\nstate_kept = 120s\n",
-            added.name, own_address(customer_port), own_address(readiness_port),
-            own_address(notice_port), own_address(metrics_port),
-            address(store_proxy_network, index, store_port),
-            options_.max_lease.count(), options_.max_stop_time.count()));
+        fmt::format("[process]\nnode = {}\n[listen]\ncustomers = {}\n"
+                    "readiness = {}\nentries = {}\nmetrics = {}\n[store]\n"
+                    "address = {}\n[bounds]\nlease = {}ms\nstop = {}ms\n"
+                    "grace = 5s\nstate_kept = 120s\nevacuation = {}ms\n",
+                    added.name, own_address(customer_port),
+                    own_address(readiness_port), own_address(notice_port),
+                    own_address(metrics_port),
+                    address(store_proxy_network, index, store_port),
+                    options_.max_lease.count(), options_.max_stop_time.count(),
+                    checker_.evacuation_bound.count()));
     added.arguments = {(binaries_ / "packages/programs/sequoiaroute").string(),
                        "schedule", "--settings=" + settings};
     entry_endpoints_.push_back({added.name, own_address(customer_port), false});
@@ -188,11 +189,29 @@
         executor_server::create(loop_, {executor, own_address(heartbeat_port)},
                                 *executor_models_.back(), random_,
                                 fmt::format("r{}", index % 2)));
+    server->on_timely_start = [this](jobs::run_id const& run,
+                                     std::string const& data_centre) {
+        checker_.on_timely_start(run, data_centre);
+    };
     executor_servers_.push_back(std::move(server));
     start(added);
     return core::success();
 }
 
+void test_system::evacuate(std::string const& data_centre)
+{
+    store_.put({"op", "", "evacuate/" + data_centre}, "{}");
+    checker_.on_evacuation(data_centre);
+}
+
+void test_system::end_evacuation(std::string const& data_centre)
+{
+    rows::transaction removal;
+    removal.removals.push_back({"op", "", "evacuate/" + data_centre});
+    store_.commit(std::move(removal), core::duration(0), [](auto const&) {});
+    checker_.on_evacuation_end(data_centre);
+}
+
 void test_system::write_rules(std::string const& key)
 {
     rules_version_ += 1 + static_cast<std::int64_t>(random_.below(3));
--- a/tests/soak/test_system.hpp
+++ b/tests/soak/test_system.hpp
@@ -72,6 +72,12 @@
     support::memory_row_store& store() { return store_; }
     /// @return the lease timing that the processes are configured for
     jobs::lease_timing timing() const;
+
+    /// Requests that no task starts in a data centre.
+    void evacuate(std::string const& data_centre);
+
+    /// Withdraws that request.
+    void end_evacuation(std::string const& data_centre);
     /// @return the entry that holds the lease in the store; nullptr if none
     system_process* decider();
     customer_simulator& customers() { return *customers_; }
