placement: Keep the speed of workers, and leave fast ones to urgent work

What was learnt of them was dropped at each takeover and each restart of an executor; work with time to spare took the fast ones; and gangs were placed on fast and slow workers together, where the fast ones idle until the slowest member is done.

Change: the decider keeps the estimates in a row, which the next one starts from. A restarted executor keeps that of its machine unless it is of another kind.

Result: tests for the takeover, the restart, odd rows, the order of workers and gangs.

--- a/packages/placement/group_fit.cpp
+++ b/packages/placement/group_fit.cpp
@@ -1,8 +1,10 @@
 #include "placement/group_fit.hpp"
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <numeric>
+#include <set>
 #include <string>
 #include <tuple>
 
@@ -12,6 +14,12 @@
 
 using jobs::resources;
 
+/// Workers whose run times are this many tenths shorter, or more, are left to
+/// work that prefers fast ones as long as others are free.
+constexpr std::int32_t fast_worker_threshold = 3;
+/// Workers whose slowness differs by this or less are about as fast.
+constexpr std::int32_t like_speed_range = 1;
+
 bool has_label(worker const& worker, std::string const& label)
 {
     return label.empty() ||
@@ -65,10 +73,36 @@
                      resources_member available)
 {
     auto const leftover = available_to(worker, group, available) - group.task;
-    bool const is_urgent = group.priority == 0;
-    return std::tuple(worker.recent_failures, is_urgent ? worker.slowness : 0,
-                      leftover.accelerators, is_urgent ? 0 : -worker.slowness,
-                      leftover.millicores);
+    bool const is_fast_first = group.prefers_fast_workers();
+    bool const is_fast = worker.slowness <= -fast_worker_threshold;
+    return std::tuple(
+        worker.recent_failures, is_fast_first ? worker.slowness : int{is_fast},
+        leftover.accelerators, is_fast_first ? 0 : -worker.slowness,
+        leftover.millicores);
+}
+
+/// Divides a candidate set by speed. All members of a gang take as long as the
+/// slowest, so fast workers in a mixed gang idle.
+/// @return for each speed the workers that are about as fast; empty if all are
+std::vector<candidate_set> sets_of_like_speed(std::span<worker const> workers,
+                                              candidate_set const& candidates)
+{
+    std::set<std::int32_t> speeds;
+    for (auto const index : candidates)
+        speeds.insert(workers[index].slowness);
+    std::vector<candidate_set> sets;
+    if (speeds.empty() ||
+        *speeds.rbegin() - *speeds.begin() <= like_speed_range)
+        return sets;
+    for (auto const slowness : speeds) {
+        auto& set = sets.emplace_back();
+        std::copy_if(candidates.begin(), candidates.end(),
+                     std::back_inserter(set), [&](std::size_t index) {
+                         auto const more = workers[index].slowness - slowness;
+                         return more >= 0 && more <= like_speed_range;
+                     });
+    }
+    return sets;
 }
 
 } // namespace
@@ -170,7 +204,7 @@
         auto const tasks =
             std::min(max_tasks, group.count - result.workers.size());
         result.workers.insert(result.workers.end(), tasks, index);
-        if (group.priority == 0)
+        if (group.prefers_fast_workers())
             result.slowest = std::max(result.slowest, candidate.slowness);
         result.leftover_accelerators +=
             usable.accelerators -
@@ -183,20 +217,55 @@
     return result;
 }
 
+namespace {
+
+/// @return the sort key of a fit; the lowest one is the best
+auto fit_rank(group_fit const& fit)
+{
+    return std::tuple(-static_cast<std::int64_t>(fit.workers.size()),
+                      fit.slowest, fit.leftover_accelerators);
+}
+
+/// Fits a gang into workers of like speed: the fastest ones if it prefers
+/// these, otherwise the slowest.
+group_fit fit_like_speed(std::span<worker const> workers,
+                         std::span<candidate_set const> sets,
+                         waiting_group const& gang, resources_member available)
+{
+    group_fit best;
+    for (auto const& candidates : sets) {
+        auto alike = sets_of_like_speed(workers, candidates);
+        if (!gang.prefers_fast_workers())
+            std::reverse(alike.begin(), alike.end());
+        for (auto& set : alike) {
+            auto fit =
+                fit_candidate_set(workers, std::move(set), gang, available);
+            if (fit.workers.empty())
+                continue;
+            if (best.workers.empty() || fit_rank(fit) < fit_rank(best))
+                best = std::move(fit);
+            break;
+        }
+    }
+    return best;
+}
+
+} // namespace
+
 group_fit best_fit(std::span<worker const> workers, waiting_group const& group,
                    resources_member available)
 {
+    auto const sets = candidate_sets(workers, group);
     group_fit best;
-    auto const rank = [](group_fit const& fit) {
-        return std::tuple(-static_cast<std::int64_t>(fit.workers.size()),
-                          fit.slowest, fit.leftover_accelerators);
-    };
-    for (auto& candidates : candidate_sets(workers, group)) {
-        auto fit =
-            fit_candidate_set(workers, std::move(candidates), group, available);
+    if (group.is_gang)
+        best = fit_like_speed(workers, sets, group, available);
+    if (!best.workers.empty())
+        return best;
+    for (auto const& candidates : sets) {
+        auto fit = fit_candidate_set(workers, candidates, group, available);
         if (fit.workers.empty())
             continue;
-        if (best.workers.empty() || rank(fit) < rank(best))
+        if (best.workers.empty() || fit_rank(fit) < fit_rank(best))
             best = std::move(fit);
     }
     return best;
--- a/packages/placement/group_fit.hpp
+++ b/packages/placement/group_fit.hpp
@@ -21,7 +21,8 @@
 struct group_fit
 {
     std::vector<std::size_t> workers; ///< one index for each task that fits
-    /// The highest slowness among the workers; 0 if the group is not urgent.
+    /// The highest slowness among the workers; 0 unless the group prefers fast
+    /// ones.
     std::int32_t slowest = 0;
     /// Accelerators of the workers that the tasks leave free.
     std::int64_t leftover_accelerators = 0;
@@ -56,7 +57,8 @@
                             waiting_group const& group,
                             resources_member available);
 
-/// Fits a group into each of its candidate sets.
+/// Fits a group into each of its candidate sets. A gang is placed on
+/// workers of like speed if it fits there.
 /// @return the fit with the most tasks, then with the fastest workers for an
 ///         urgent group, then with the fewest accelerators left; empty if
 ///         nothing fits
--- a/packages/placement/placement_round.hpp
+++ b/packages/placement/placement_round.hpp
@@ -48,8 +48,8 @@
     /// The number of recent failures; workers with fewer are preferred.
     double recent_failures = 0;
     /// The run time relative to other workers, as in worker_speed::slowness();
-    /// above 0 for slower ones. Urgent tasks prefer fast workers, other tasks
-    /// slow ones.
+    /// above 0 for slower ones. Groups that are urgent or short of time prefer
+    /// fast workers, others slow ones.
     std::int32_t slowness = 0;
 };
 
@@ -76,6 +76,14 @@
     std::optional<std::set<std::string>> allowed_executors;
     /// 0 is urgent. A group may preempt groups with a higher number.
     std::int32_t priority = 0;
+    /// Whether it would miss its objective on a slow worker.
+    bool is_short_of_time = false;
+    /// Urgent groups and those short of time prefer fast workers; the others
+    /// leave these to them.
+    bool prefers_fast_workers() const
+    {
+        return priority == 0 || is_short_of_time;
+    }
     /// Whether the guarantee of its customer covers it, which entitles it to
     /// preempt running work.
     bool is_guaranteed = false;
@@ -90,6 +98,8 @@
     bool can_reserve = false;
     /// The most work, in core-seconds, that preemption may discard to start it.
     double preemption_budget = 0;
+    /// Whether it may preempt runs whose jobs miss their objectives by that.
+    bool may_make_jobs_late = true;
 };
 
 /// Runs that can only be stopped together: a single task, or all members of a
@@ -98,8 +108,6 @@
 {
     struct member
     {
-    /// Whether it may preempt runs whose jobs miss their objectives by that.
-    bool may_make_jobs_late = true;
         std::string agent;
         jobs::resources task;
     };
@@ -108,6 +116,11 @@
     std::int32_t priority = 0;
     /// The work that stopping the group would discard.
     double loss_core_seconds = 0;
+    std::size_t job = 0; ///< number of its job among those of the round
+    /// Its job is expected to meet its objective, and would not after a stop.
+    bool makes_job_late = false;
+    /// Its job has been preempted often; only guaranteed work may stop it.
+    bool is_protected = false;
 };
 
 /// The agents assigned to the tasks of a group.
@@ -116,11 +129,6 @@
     std::size_t group = 0;           ///< index into the waiting groups
     std::vector<std::string> agents; ///< one for each placed task
 };
-    std::size_t job = 0; ///< number of its job among those of the round
-    /// Its job is expected to meet its objective, and would not after a stop.
-    bool makes_job_late = false;
-    /// Its job has been preempted often; only guaranteed work may stop it.
-    bool is_protected = false;
 
 struct round_result
 {
--- a/packages/placement/worker_speed.cpp
+++ b/packages/placement/worker_speed.cpp
@@ -17,6 +17,8 @@
 /// Limit of the logarithm of a ratio (a factor of two): larger differences come
 /// from a fault, not from the speed of the worker.
 constexpr double max_log_ratio = 0.7;
+/// Smaller logarithms of a ratio hardly change decisions.
+constexpr double min_notable_log_ratio = 0.15;
 /// Scale from the logarithm of a ratio to slowness.
 constexpr double slowness_per_log_ratio = 10;
 
@@ -60,6 +62,20 @@
     estimate.log_ratio += weight * (ratio - estimate.log_ratio);
 }
 
+worker_speed::estimates worker_speed::notable_estimates() const
+{
+    auto notable = estimates_;
+    std::erase_if(notable, [](auto const& item) {
+        return std::abs(item.second.log_ratio) < min_notable_log_ratio;
+    });
+    return notable;
+}
+
+void worker_speed::restore(estimates const& earlier)
+{
+    estimates_.insert(earlier.begin(), earlier.end());
+}
+
 std::int32_t worker_speed::slowness(std::string const& agent) const
 {
     auto const found = estimates_.find(agent);
--- a/packages/placement/worker_speed.hpp
+++ b/packages/placement/worker_speed.hpp
@@ -32,9 +32,26 @@
     ///         ratio): 0 if about equal or unknown, above 0 for slower workers
     std::int32_t slowness(std::string const& agent) const;
 
-    /// Discards the estimate of a worker whose executor has restarted.
+    /// Discards the estimate of a worker that has become another one.
     void discard_worker(std::string const& agent) { estimates_.erase(agent); }
 
+    /// The estimate of one worker.
+    struct estimate
+    {
+        /// Average natural logarithm of run time over median run time.
+        double log_ratio = 0;
+        std::int32_t samples = 0;
+    };
+
+    using estimates = std::map<std::string, estimate>; ///< by agent
+
+    /// @return the estimates of workers that are clearly faster or slower than
+    ///         others, to be kept for the next decider
+    estimates notable_estimates() const;
+
+    /// Adds estimates of an earlier decider; those known already are kept.
+    void restore(estimates const& earlier);
+
 private:
     /// Run times of equal tasks, on any worker.
     struct sample_group
@@ -42,18 +59,12 @@
         std::string name;
         std::vector<double> run_times; ///< in milliseconds
     };
-    struct estimate
-    {
-        /// Average natural logarithm of run time over median run time.
-        double log_ratio = 0;
-        std::int32_t samples = 0;
-    };
 
     /// Adds the group if it is new, which may drop the oldest one.
     sample_group& find_group(std::string const& name);
 
     std::deque<sample_group> groups_; ///< the newest one last
-    std::map<std::string, estimate> estimates_;
+    estimates estimates_;
 };
 
 } // namespace sequoiaroute::placement
--- a/packages/rows/row_layout.cpp
+++ b/packages/rows/row_layout.cpp
@@ -53,6 +53,11 @@
     return work_row("lease", "");
 }
 
+row_key worker_speed_row()
+{
+    return work_row("worker-speed", "");
+}
+
 row_key job_row(std::string_view job_id)
 {
     return entry_row(job_prefix, job_id);
--- a/packages/rows/row_layout.hpp
+++ b/packages/rows/row_layout.hpp
@@ -36,6 +36,9 @@
 /// @return the key of the lease of the decider
 row_key lease_row();
 
+/// @return the key of what deciders have learnt of the speed of workers
+row_key worker_speed_row();
+
 /// @return the key of the submission of a job
 row_key job_row(std::string_view job_id);
 
--- a/packages/scheduler/commit_queue.cpp
+++ b/packages/scheduler/commit_queue.cpp
@@ -66,7 +66,16 @@
 void commit_queue::push(std::span<job_change const> changes)
 {
     for (auto const& change : changes)
-        append(change);
+        append(make_batch(change));
+    if (!in_flight_)
+        send_next();
+}
+
+void commit_queue::put(rows::row_key key, std::string value)
+{
+    batch rows;
+    rows.writes.emplace(std::move(key), std::move(value));
+    append(std::move(rows));
     if (!in_flight_)
         send_next();
 }
@@ -118,9 +127,8 @@
     return rows;
 }
 
-void commit_queue::append(job_change const& change)
+void commit_queue::append(batch rows)
 {
-    auto rows = make_batch(change);
     if (!pending_.empty() && pending_.back().fits(rows))
         pending_.back().merge(std::move(rows));
     else
--- a/packages/scheduler/commit_queue.hpp
+++ b/packages/scheduler/commit_queue.hpp
@@ -87,6 +87,9 @@
     /// one transaction, which several changes share if they fit.
     void push(std::span<job_change const> changes);
 
+    /// Queues the write of a single row.
+    void put(rows::row_key key, std::string value);
+
     /// Renews the lease by writing only its row. Does nothing during a write,
     /// which renews the lease as well.
     void renew();
@@ -121,7 +124,7 @@
     };
 
     static batch make_batch(job_change const& change);
-    void append(job_change const& change);
+    void append(batch rows);
     void send_next();
     void send();
     void handle_result(rows::commit_result const& result);
--- a/packages/scheduler/decider_service.cpp
+++ b/packages/scheduler/decider_service.cpp
@@ -7,6 +7,7 @@
 #include "rows/row_layout.hpp"
 #include "rows/unreadable_row.hpp"
 #include "scheduler/change_log.hpp"
+#include "scheduler/worker_speed_codec.hpp"
 
 #include <algorithm>
 #include <chrono>
@@ -24,6 +25,8 @@
 constexpr core::duration report_batch_delay{20};
 constexpr core::duration commit_timeout{1000};
 constexpr core::duration advice_retry_delay{200};
+/// How often what was learnt of the speed of workers is stored.
+constexpr core::duration speed_store_period{2000};
 /// The number of entries that are asked to take over. One that succeeds is
 /// enough.
 constexpr std::size_t max_takeover_requests = 2;
@@ -197,9 +200,36 @@
                                      report_replica_->rows().size())}});
     for (auto const& [key, row] : report_replica_->rows())
         observe_report(row, true);
+    restore_speeds();
     schedule_round();
 }
 
+void decider_service::restore_speeds()
+{
+    speeds_stored_at_ = timers_.now();
+    auto const found = work_.rows().find(rows::layout::worker_speed_row());
+    if (found == work_.rows().end())
+        return;
+    stored_speeds_ = found->second.value;
+    auto const speeds = decode_worker_speeds(stored_speeds_);
+    if (core::is_ok(speeds))
+        core_->restore_speeds(core::value(speeds));
+    else
+        rows::log_unreadable_row(found->second, core::failure(speeds));
+}
+
+void decider_service::store_speeds()
+{
+    if (timers_.now() - speeds_stored_at_ < speed_store_period)
+        return;
+    speeds_stored_at_ = timers_.now();
+    auto speeds = encode(core_->notable_speeds());
+    if (speeds == stored_speeds_)
+        return;
+    stored_speeds_ = speeds;
+    commit_queue_->put(rows::layout::worker_speed_row(), std::move(speeds));
+}
+
 void decider_service::apply_row(rows::row const& changed)
 {
     auto const& key = changed.key.key;
@@ -342,6 +372,7 @@
                      changes.empty() ? "unchanged" : "changed",
                      timers_.now() - started_at);
     request_advice();
+    store_speeds();
     if (changes.empty())
         return;
     log_changes(changes);
--- a/packages/scheduler/decider_service.hpp
+++ b/packages/scheduler/decider_service.hpp
@@ -126,6 +126,9 @@
     /// Removes the rows of a job that entries wrote, then those of the decider.
     void retire_job(job_change change);
     decision_time current_decision_time() const;
+    void restore_speeds();
+    /// Stores what has been learnt of the speed of workers, if it has changed.
+    void store_speeds();
     /// @return the limits of the next round; logs when it holds starts back
     start_limits current_start_limits();
 
@@ -155,6 +158,8 @@
     bool is_round_needed_ = false;
     bool are_starts_held_ = false; ///< in the last round
     bool is_advice_pending_ = false;
+    std::string stored_speeds_; ///< as last written to their row
+    core::time_point speeds_stored_at_{};
     std::int64_t unix_offset_ms_; ///< time of day minus steady clock
 
     std::unique_ptr<event::timer> tick_timer_;
--- a/packages/scheduler/group_builder.cpp
+++ b/packages/scheduler/group_builder.cpp
@@ -162,29 +162,11 @@
 struct job_urgency
 {
     bool is_guaranteed = false;
+    usefulness use = usefulness::timely;
     core::time_point latest_start{};
 };
 
-waiting_tasks make_waiting_tasks(open_job const& job, step_key const& key,
-                                 std::vector<jobs::task_id> tasks,
-                                 job_urgency const& urgency,
-                                 run_time_estimator const& run_times,
-                                 core::time_point waiting_since,
-    usefulness use = usefulness::timely;
-                                 core::time_point now)
-{
-    auto const& step =
-        job.submission.spec.steps[static_cast<std::size_t>(key.step)];
 /// @param use the use of the job's result if it is completed now
-waiting_tasks make_waiting_tasks(open_job const& job, step_key const& key,
-                                 std::vector<jobs::task_id> tasks,
-                                 job_urgency const& urgency,
-                                 run_time_estimator const& run_times,
-                                 core::time_point waiting_since,
-                                 core::time_point now)
-{
-    auto const& step =
-        job.submission.spec.steps[static_cast<std::size_t>(key.step)];
 /// @param waited how long the group has waited
 /// @return by what the group is placed relative to others of its class: those
 ///         that can meet their objectives come first, those that are of no use
@@ -194,6 +176,15 @@
     return waited > max_deferral ? usefulness::timely : use;
 }
 
+waiting_tasks make_waiting_tasks(open_job const& job, step_key const& key,
+                                 std::vector<jobs::task_id> tasks,
+                                 job_urgency const& urgency,
+                                 run_time_estimator const& run_times,
+                                 core::time_point waiting_since,
+                                 core::time_point now)
+{
+    auto const& step =
+        job.submission.spec.steps[static_cast<std::size_t>(key.step)];
     auto const waited = now - waiting_since;
     waiting_tasks result;
     auto& group = result.group;
@@ -221,6 +212,9 @@
                                       : found->second.allowed_executors();
     }
     group.priority = job.submission.parameters.priority;
+    group.is_short_of_time =
+        !step.is_long_running && urgency.use == usefulness::timely &&
+        urgency.latest_start - now < group.expected_run_time / 2;
     group.is_guaranteed = urgency.is_guaranteed;
     group.is_any_rack_allowed =
         urgency.is_guaranteed && waited > rack_wait_limit;
@@ -230,6 +224,8 @@
     else if (group.priority == 0)
         group.preemption_budget =
             preemption_budget_of(job.submission, run_times);
+    group.may_make_jobs_late =
+        urgency.is_guaranteed || urgency.use == usefulness::timely;
     result.tasks = std::move(tasks);
     result.priority_class = priority_class_of(step, group);
     result.rank = placement_rank(urgency.use, waited);
@@ -245,6 +241,12 @@
         return 0;
     auto const& step = step_of(job, run.order.run.task);
     auto seconds =
+        static_cast<double>((now - *run.first_seen_at).count()) / 1000;
+    if (step.has_checkpoints)
+        seconds = std::min(seconds, max_checkpoint_age_s);
+    return seconds * core_equivalents(run.resources);
+}
+
 /// @return whether the job of a run is expected to meet its objective, but not
 ///         if the run is stopped and its work that is not saved is done again
 bool would_miss_objective(open_job const& job, assignment const& run,
@@ -263,12 +265,6 @@
     return now + run_time + restart_delay > due;
 }
 
-        static_cast<double>((now - *run.first_seen_at).count()) / 1000;
-    if (step.has_checkpoints)
-        seconds = std::min(seconds, max_checkpoint_age_s);
-    return seconds * core_equivalents(run.resources);
-}
-
 } // namespace
 
 bool is_step_due(jobs::submission const& job,
@@ -334,16 +330,16 @@
 
 std::vector<running_tasks>
 collect_preemptible_groups(job_map const& jobs,
-    std::size_t number = 0;
                            run_time_estimator const& run_times,
-        ++number;
-        auto const due = job.assignments.empty()
-                             ? core::time_point{}
-                             : objective_of(job, run_times).due;
                            core::time_point now)
 {
     std::vector<running_tasks> groups;
+    std::size_t number = 0;
     for (auto const& [id, job] : jobs) {
+        ++number;
+        auto const due = job.assignments.empty()
+                             ? core::time_point{}
+                             : objective_of(job, run_times).due;
         std::map<step_key, std::size_t> gangs;
         for (auto const& [task, run] : job.assignments) {
             auto const& step = step_of(job, task);
@@ -361,12 +357,12 @@
                                      max_preemptions_per_task *
                                          jobs::task_count(job.submission.spec);
             }
-            if (would_miss_objective(job, run, due, run_times, now))
-                running.group.makes_job_late = true;
             auto& running = groups[gangs[key]];
             running.tasks.push_back(task);
             running.group.members.push_back({run.order.agent, run.resources});
             running.group.loss_core_seconds += lost_core_seconds(job, run, now);
+            if (would_miss_objective(job, run, due, run_times, now))
+                running.group.makes_job_late = true;
         }
     }
     return groups;
--- a/packages/scheduler/run_statistics.cpp
+++ b/packages/scheduler/run_statistics.cpp
@@ -57,10 +57,4 @@
         speed.record(run.order.agent, sample_group_of(task), run_time);
 }
 
-void run_statistics::discard_worker(std::string const& agent)
-{
-    health.discard_worker(agent);
-    speed.discard_worker(agent);
-}
-
 } // namespace sequoiaroute::scheduler
--- a/packages/scheduler/run_statistics.hpp
+++ b/packages/scheduler/run_statistics.hpp
@@ -28,10 +28,6 @@
     /// @param now the time at which its end was reported
     void observe_success(open_job const& job, assignment const& run,
                          core::time_point now);
-
-    /// Drops the health and speed of a worker, because its executor restarted.
-    /// @param agent the agent of the worker
-    void discard_worker(std::string const& agent);
 };
 
 } // namespace sequoiaroute::scheduler
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -111,7 +111,14 @@
     if (report.written_at < view.report.written_at)
         return;
     if (view.report.worker.executor != report.worker.executor) {
-        statistics_.discard_worker(agent);
+        statistics_.health.discard_worker(agent);
+        // An executor that restarts on its machine is as fast as before.
+        bool const is_first = view.report.agent.empty();
+        bool const is_same_kind =
+            view.report.worker.labels == report.worker.labels &&
+            view.report.worker.capacity == report.worker.capacity;
+        if (!is_first && !is_same_kind)
+            statistics_.speed.discard_worker(agent);
     }
     if (view.first_executor.id.empty())
         view.first_executor = report.worker.executor;
@@ -425,12 +432,12 @@
         for (auto const& task : running[victim].tasks) {
             auto& job = jobs_.at(task.job_id);
             stop_run(job, job.assignments.at(task), "preempted by urgent work");
+            ++job.preempted_runs;
         }
     }
 }
 
 /// Makes non-urgent groups leave the urgent headroom free, unless waiting could
-            ++job.preempted_runs;
 /// make them miss their latest start. Groups that have missed it wait as well.
 /// The headroom is a share of the workers that accept runs: if the others
 /// counted, it could exceed all that is left after most workers have gone.
--- a/packages/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/scheduler_core.hpp
@@ -104,6 +104,19 @@
     /// @param now when it arrived
     void receive_report(jobs::worker_report report, core::time_point now);
 
+    /// Restores what earlier deciders have learnt of the speed of workers.
+    void restore_speeds(placement::worker_speed::estimates const& earlier)
+    {
+        statistics_.speed.restore(earlier);
+    }
+
+    /// @return what is known of the speed of workers, to be restored after a
+    ///         takeover
+    placement::worker_speed::estimates notable_speeds() const
+    {
+        return statistics_.speed.notable_estimates();
+    }
+
     /// Runs a scheduling round: ends the runs of lost workers, begins due
     /// occurrences, stops and places runs, updates the states of jobs and
     /// removes those whose retention has passed.
--- a/tests/placement/placement_round_test.cpp
+++ b/tests/placement/placement_round_test.cpp
@@ -192,6 +192,44 @@
     EXPECT_EQ(find_agents(workers, gang, &worker::free), (agents{"slow"}));
 }
 
+// A third of the workers is fast. Guards against work with time to spare that
+// takes their room from the urgent work that needs it to be in time.
+TEST(placement_round, leaves_fast_workers_to_work_that_is_short_of_time)
+{
+    std::vector<worker> workers{make_worker("fast", "r1", 2),
+                                make_worker("usual", "r1", 8)};
+    workers[0].slowness = -5;
+    auto group = make_group(2, 1);
+    EXPECT_EQ(find_agents(workers, group, &worker::free),
+              (agents{"usual", "usual"}));
+    group.count = 10;
+    EXPECT_EQ(find_agents(workers, group, &worker::free).size(), 10U);
+    group.count = 2;
+    group.is_short_of_time = true;
+    EXPECT_EQ(find_agents(workers, group, &worker::free),
+              (agents{"fast", "fast"}));
+}
+
+// A third of the workers is fast. Guards against gangs on workers of unequal
+// speed, where the fast ones idle until the slowest member has ended, and
+// against a gang that waits because its workers would be unequal.
+TEST(placement_round, places_a_gang_on_workers_of_like_speed)
+{
+    std::vector<worker> workers{
+        make_worker("fast-1", "r1", 2), make_worker("fast-2", "r1", 8),
+        make_worker("slow-1", "r1", 4), make_worker("slow-2", "r1", 8)};
+    for (auto const index : {0U, 1U})
+        workers[index].slowness = -5;
+    for (auto const index : {2U, 3U})
+        workers[index].slowness = 4;
+    auto gang = make_group(3, 2);
+    gang.is_gang = true;
+    EXPECT_EQ(find_agents(workers, gang, &worker::free),
+              (agents{"slow-1", "slow-1", "slow-2"}));
+    gang.count = 10;
+    EXPECT_EQ(find_agents(workers, gang, &worker::free).size(), 10U);
+}
+
 // Urgent gangs arrive every second. Guards against non-urgent work that takes
 // the headroom that the next gang needs.
 TEST(placement_round, keeps_headroom_for_urgent_work_free)
--- a/tests/scheduler/decider_service_test.cpp
+++ b/tests/scheduler/decider_service_test.cpp
@@ -3,6 +3,7 @@
 #include "core/event_log.hpp"
 #include "jobs/row_codec.hpp"
 #include "rows/row_layout.hpp"
+#include "scheduler/worker_speed_codec.hpp"
 #include "support/memory_row_store.hpp"
 #include "support/recording_notice_sender.hpp"
 #include "support/worker_reports.hpp"
@@ -248,6 +249,24 @@
               13'000ms);
 }
 
+// Guards against learning the speed of all workers anew after each takeover,
+// while urgent work runs on slow ones, and against an odd row that ends the
+// decider.
+TEST_F(decider_service_test, keeps_the_speed_of_workers_over_a_takeover)
+{
+    add_worker("a");
+    add_worker("b");
+    store.put(rows::layout::worker_speed_row(), encode({{"b", {-0.5, 9}}}));
+    entry first(store, timers, "one");
+    timers.advance(500ms);
+    add_job("urgent", 0);
+    timers.advance(200ms);
+    EXPECT_FALSE(order("urgent"));
+    EXPECT_TRUE(store.find(rows::layout::order_row("b", "urgent.0.0.0/1")));
+    for (auto const* odd : {"[", "[]", R"({"b":7})", R"({"b":[900000,1]})"})
+        EXPECT_FALSE(core::is_ok(decode_worker_speeds(odd))) << odd;
+}
+
 // Guards against orders that are repeated or lost when the answer of the store
 // is lost.
 TEST_F(decider_service_test, retries_a_commit_whose_answer_was_lost)
--- a/tests/scheduler/scheduler_core_test.cpp
+++ b/tests/scheduler/scheduler_core_test.cpp
@@ -877,6 +877,21 @@
         EXPECT_NE(order.agent, "e");
 }
 
+// Guards against learning the speed of a worker anew after each restart of its
+// executor, and against keeping that of another kind of worker.
+TEST_F(scheduler_core_test, keeps_the_speed_of_a_restarted_executor)
+{
+    add_worker("a");
+    add_worker("b");
+    core_.restore_speeds({{"b", {-0.5, 9}}});
+    add_worker("b", 2);
+    EXPECT_EQ(core_.notable_speeds().count("b"), 1U);
+    auto other = support::make_worker_report("b", 3);
+    other.worker.labels = {"other", "r1"};
+    core_.receive_report(other, now_);
+    EXPECT_TRUE(core_.notable_speeds().empty());
+}
+
 // A gang runs on a fast and a slow worker. Guards against stopping it for want
 // of progress while its fast member waits for the slow one, and against a fast
 // worker that gets no other work meanwhile.
