placement: Hold room for groups that wait for the headroom on busy fleets

Cause: a group that only waits for the headroom of urgent work held nothing any more. On a busy fleet narrow work took that room, and urgent work had to stop it again.

Change: such a group holds room while at least half of the accelerators of its service are in use, and nothing on a fleet that is mostly idle, where other work would wait beside idle workers.

Result: reservation_test has both cases.

--- a/packages/placement/placement_round.cpp
+++ b/packages/placement/placement_round.cpp
@@ -68,10 +68,7 @@
         }
         if (fit.workers.size() == group.count)
             return;
-        // It fits, and only waits for the headroom to be given up.
-        if (group.accelerator_headroom > 0 &&
-            best_fit(workers_, group, &worker::free).workers.size() ==
-                group.count)
+        if (waits_for_headroom(group) && is_mostly_idle(group.service))
             return;
         auto unplaced = group;
         unplaced.count -= fit.workers.size();
@@ -108,6 +105,33 @@
         return best_fit(workers_, limited, &worker::free);
     }
 
+    /// @return whether the group fits, and only waits for the headroom to be
+    ///         given up
+    bool waits_for_headroom(waiting_group const& group) const
+    {
+        return group.accelerator_headroom > 0 &&
+               best_fit(workers_, group, &worker::free).workers.size() ==
+                   group.count;
+    }
+
+    /// Room that is held for a group that waits for the headroom adds to the
+    /// headroom. That serves urgent work on busy workers, and keeps other work
+    /// waiting beside idle ones.
+    /// @return whether over half of the accelerators that a service may use are
+    ///         free
+    bool is_mostly_idle(std::string const& service) const
+    {
+        std::int64_t free = 0;
+        std::int64_t capacity = 0;
+        for (auto const& worker : workers_) {
+            if (!worker.is_accepting || worker.service != service)
+                continue;
+            free += std::max<std::int64_t>(worker.free.accelerators, 0);
+            capacity += worker.capacity.accelerators;
+        }
+        return free * 2 > capacity;
+    }
+
     /// Deducts the tasks of a group from the workers, one for each index.
     void allocate(waiting_group const& group,
                   std::span<std::size_t const> indexes)
--- a/tests/placement/reservation_test.cpp
+++ b/tests/placement/reservation_test.cpp
@@ -143,6 +143,23 @@
     EXPECT_EQ(placed_tasks(run_round(workers, waiting, {}), 1), 1U);
 }
 
+// Most of the fleet is in use, and a whole-worker job waits for the headroom.
+// Guards against narrow work that takes the room between two urgent jobs.
+TEST(reservation, holds_room_for_such_a_group_on_busy_workers)
+{
+    std::vector<worker> workers{make_worker("a"), make_worker("b"),
+                                make_worker("c")};
+    add_run(workers[1], 8, 5s);
+    add_run(workers[2], 8, 5s);
+    auto whole = make_group(1, 8, 10s);
+    whole.can_reserve = true;
+    whole.accelerator_headroom = 4;
+    auto small = make_group(1, 2, 10s);
+    small.accelerator_headroom = 4;
+    std::vector<waiting_group> const waiting{whole, small};
+    EXPECT_EQ(placed_tasks(run_round(workers, waiting, {}), 1), 0U);
+}
+
 /// Plays rounds every second, with narrow tasks that always wait.
 class narrow_stream
 {
