placement: Reclaim guarantees from urgent work beyond them

Cause: guaranteed work could stop less urgent work only. Urgent work of another customer that was beyond its guarantee kept what it had taken, so that a guaranteed job waited for it to end.

Change: runs say whether a guarantee covers their job. Guaranteed work may also stop urgent runs that none covers, after all less urgent ones.

Result: scheduler_core_test.reclaims_a_guarantee_from_urgent_work_beyond_one shows the case; two jobs beyond their guarantees still do not stop each other.

--- a/packages/placement/placement_round.cpp
+++ b/packages/placement/placement_round.cpp
@@ -46,6 +46,7 @@
             candidate.loss_core_seconds = group.loss_core_seconds;
             candidate.job = group.job;
             candidate.makes_job_late = group.makes_job_late;
+            candidate.is_guaranteed = group.is_guaranteed;
             candidate.is_protected = group.is_protected;
             for (auto const& member : group.members) {
                 if (auto const found = indexes.find(member.agent);
--- a/packages/placement/placement_round.hpp
+++ b/packages/placement/placement_round.hpp
@@ -119,6 +119,8 @@
     std::size_t job = 0; ///< number of its job among those of the round
     /// Its job is expected to meet its objective, and would not after a stop.
     bool makes_job_late = false;
+    /// The guarantee of its customer covers its job.
+    bool is_guaranteed = false;
     /// Its job has been preempted often; only guaranteed work may stop it.
     bool is_protected = false;
 };
--- a/packages/placement/victim_search.cpp
+++ b/packages/placement/victim_search.cpp
@@ -74,6 +74,14 @@
     std::size_t total_tasks_ = 0;
 };
 
+bool may_preempt(waiting_group const& group, victim const& candidate)
+{
+    if (candidate.priority > group.priority)
+        return true;
+    return group.is_guaranteed && !candidate.is_guaranteed &&
+           candidate.priority == group.priority;
+}
+
 } // namespace
 
 bool costs_less(victim_set const& left, victim_set const& right)
@@ -95,7 +103,7 @@
             (candidate.is_protected && !group.is_guaranteed) ||
             (candidate.makes_job_late && !group.may_make_jobs_late);
         if (!candidate.is_stopped && !is_spared &&
-            candidate.priority > group.priority &&
+            may_preempt(group, candidate) &&
             simulation.is_affected_by(candidate))
             eligible.push_back(index);
     }
@@ -104,8 +112,10 @@
         [&](std::size_t left, std::size_t right) {
             auto const& first = running[left];
             auto const& second = running[right];
-            return std::tuple(first.makes_job_late, first.loss_core_seconds) <
-                   std::tuple(second.makes_job_late, second.loss_core_seconds);
+            return std::tuple(first.priority == group.priority,
+                              first.makes_job_late, first.loss_core_seconds) <
+                   std::tuple(second.priority == group.priority,
+                              second.makes_job_late, second.loss_core_seconds);
         });
     std::vector<std::size_t> chosen;
     for (auto const index : eligible) {
--- a/packages/placement/victim_search.hpp
+++ b/packages/placement/victim_search.hpp
@@ -24,6 +24,7 @@
     bool is_stopped = false; ///< already preempted in this round
     std::size_t job = 0;     ///< as in running_group
     bool makes_job_late = false;
+    bool is_guaranteed = false;
     bool is_protected = false;
 };
 
@@ -40,10 +41,11 @@
 bool costs_less(victim_set const& left, victim_set const& right);
 
 /// Finds running groups of lower priority whose preemption lets a waiting group
-/// fit into a candidate set. Takes the cheapest first, then spares those that
-/// turn out not to be needed; cheaper combinations may exist. Runs whose jobs
-/// would still meet their objectives, or have missed them, cost less than those
-/// whose jobs would become late.
+/// fit into a candidate set. A guaranteed group may also preempt runs of its
+/// own priority that are beyond the guarantee of their customer. Takes the
+/// cheapest first, then spares those that turn out not to be needed; cheaper
+/// combinations may exist. Runs whose jobs would still meet their objectives,
+/// or have missed them, cost less than those whose jobs would become late.
 ///
 /// Gangs that need whole workers may arrive in a burst while hundreds of small
 /// tasks run. The free resources are therefore updated per worker as victims
--- a/packages/scheduler/group_builder.cpp
+++ b/packages/scheduler/group_builder.cpp
@@ -329,10 +329,11 @@
 }
 
 std::vector<running_tasks>
-collect_preemptible_groups(job_map const& jobs,
+collect_preemptible_groups(job_map const& jobs, jobs::rules const& rules,
                            run_time_estimator const& run_times,
                            core::time_point now)
 {
+    auto const guaranteed = guaranteed_jobs(jobs, rules);
     std::vector<running_tasks> groups;
     std::size_t number = 0;
     for (auto const& [id, job] : jobs) {
@@ -353,6 +354,7 @@
                 auto& group = groups.back().group;
                 group.priority = job.submission.parameters.priority;
                 group.job = number;
+                group.is_guaranteed = guaranteed.contains(&job);
                 group.is_protected = job.preempted_runs >=
                                      max_preemptions_per_task *
                                          jobs::task_count(job.submission.spec);
--- a/packages/scheduler/group_builder.hpp
+++ b/packages/scheduler/group_builder.hpp
@@ -57,10 +57,11 @@
 /// Collects the runs that may be preempted. Excludes runs that are being
 /// stopped and steps whose absences the customer has limited.
 /// @param jobs all jobs
+/// @param rules the rules in force, with the guarantees of customers
 /// @param run_times estimates run times
 /// @param now the current time
 std::vector<running_tasks>
-collect_preemptible_groups(job_map const& jobs,
+collect_preemptible_groups(job_map const& jobs, jobs::rules const& rules,
                            run_time_estimator const& run_times,
                            core::time_point now);
 
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -408,9 +408,9 @@
             return tasks.group.preemption_budget > 0;
         });
     auto const running =
-        can_preempt
-            ? collect_preemptible_groups(jobs_, statistics_.run_times, now)
-            : std::vector<running_tasks>();
+        can_preempt ? collect_preemptible_groups(jobs_, *rules_,
+                                                 statistics_.run_times, now)
+                    : std::vector<running_tasks>();
     std::vector<placement::waiting_group> waiting_groups;
     waiting_groups.reserve(waiting.size());
     for (auto const& tasks : waiting)
--- a/tests/scheduler/scheduler_core_test.cpp
+++ b/tests/scheduler/scheduler_core_test.cpp
@@ -548,6 +548,25 @@
     EXPECT_EQ(started[0].run.task.job_id, "urgent");
 }
 
+// Urgent work of one customer, beyond its guarantee, has taken all workers.
+// Guards against a customer who does not get the guaranteed accelerators back.
+TEST_F(scheduler_core_test, reclaims_a_guarantee_from_urgent_work_beyond_one)
+{
+    jobs::rules rules;
+    rules.guaranteed_accelerators = {{"press", 8}, {"other", 8}};
+    core_.set_rules(std::make_shared<jobs::rules const>(rules));
+    add_worker("a");
+    add_worker("b");
+    auto beyond = make_job("beyond", 2, 8, false, 0);
+    beyond.customer = "other";
+    core_.add_submission(beyond, now_);
+    EXPECT_EQ(decide_starts().size(), 2U);
+    add_job("guaranteed", 1, 8, true, 0);
+    EXPECT_EQ(orders(decide(), stops).size(), 1U);
+    add_job("also-beyond", 1, 8, true, 0);
+    EXPECT_TRUE(orders(decide(), stops).empty());
+}
+
 // Guards against a long-running task that stays on a draining worker until it
 // ends, since a progress of 100 percent looks almost done; and against one that
 // is preempted although the absences of its step are limited.
