operators: Report a conflict for rules that change after the row was read

Change: an edit that was made from an older generation than the one in force is a conflict, whatever the table answered.

--- a/packages/operators/rules_service.cpp
+++ b/packages/operators/rules_service.cpp
@@ -327,6 +327,10 @@
                           row.rules.author == next.author;
     if (is_retry)
         return core::success();
+    // The row may have been read just before another entry wrote it and pushed
+    // the new rules here.
+    if (base_generation < rules_generation())
+        return conflict_error(base_generation, next.text);
     if (row.rules.generation < rules_generation()) {
         return core::error{
             core::result_code::not_run_store_unavailable,
--- a/tests/operators/rules_service_test.cpp
+++ b/tests/operators/rules_service_test.cpp
@@ -7,6 +7,9 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <functional>
+#include <utility>
+
 namespace sequoiaroute::operators {
 namespace {
 
@@ -206,6 +209,60 @@
     EXPECT_EQ(core::value(repeated).generation, 1U);
 }
 
+/// A table that calls a function once, after the next read.
+class interrupted_table final : public platform::table
+{
+public:
+    explicit interrupted_table(platform::table& table) : table_(table) {}
+
+    core::result<platform::row> read(std::string_view key) override
+    {
+        auto row = table_.read(key);
+        auto const hook = std::exchange(after_read, [] {});
+        hook();
+        return row;
+    }
+    core::result<std::vector<platform::row>>
+    scan(std::string_view prefix) override
+    {
+        return table_.scan(prefix);
+    }
+    core::status commit(std::span<platform::row_condition const> conditions,
+                        std::span<platform::row_write const> writes) override
+    {
+        return table_.commit(conditions, writes);
+    }
+
+    std::function<void()> after_read = [] {};
+
+private:
+    platform::table& table_;
+};
+
+// Two entries apply rules at the same time, and the rules of one reach the
+// other after it has read the row. Guards against an editor who is told that
+// the table is unavailable instead of what has changed.
+TEST_F(rules_service_test, apply_conflicts_with_rules_pushed_after_its_read)
+{
+    auto const a = start_entry("a");
+    interrupted_table table(table_);
+    rules_service service(table, links_, clock_,
+                          {[] { return std::vector<peers::entry_record>(); },
+                           [] { return std::vector<std::string>(); },
+                           [] { return std::vector<std::string>(); }},
+                          nullptr,
+                          {"c", "c", core::duration(8000), core::duration(1000),
+                           core::duration(1), core::duration(50)});
+    table.after_read = [&] {
+        ASSERT_TRUE(core::is_ok(a->apply("ida", 0, text_with_priority(1))));
+        rules_message const pushed{1, "ida", a->rules_document()};
+        service.handle({"rules", "a", "a", {}, pushed});
+    };
+    EXPECT_EQ(core::code_of(service.apply("ben", 0, text_with_priority(2))),
+              result_code::rules_conflict);
+    EXPECT_EQ(service.rules_generation(), 1U);
+}
+
 TEST_F(rules_service_test, apply_during_an_outage_changes_nothing)
 {
     auto const a = start_entry("a");
