explain: Parse a log line in one place

Cause: the search for evacuations repeated how the events of a job are read from a line: find the object, parse it, check that it is one.

Change: parse_line() serves both.

--- a/packages/programs/explain_command.cpp
+++ b/packages/programs/explain_command.cpp
@@ -75,24 +75,30 @@
         core::valid_field_or(line, "agent", std::string())};
 }
 
+/// @param text a line of a log, which may have a prefix
+/// @return its JSON object; nullopt if it has none
+std::optional<json> parse_line(std::string_view text)
+{
+    auto const begin = text.find('{');
+    if (begin == std::string_view::npos)
+        return std::nullopt;
+    auto parsed = core::parse_json(text.substr(begin));
+    if (!core::is_ok(parsed) || !core::value(parsed).is_object())
+        return std::nullopt;
+    return core::value(std::move(parsed));
+}
+
 /// @return the events of a job in order of time
 std::vector<log_record> select_records(std::string_view job_id,
                                        std::span<std::string const> lines)
 {
     std::vector<log_record> records;
     for (auto const& text : lines) {
-        auto const object_begin = text.find('{');
-        if (object_begin == std::string::npos ||
-            text.find(job_id) == std::string::npos)
-            continue;
-        auto const parsed =
-            core::parse_json(std::string_view(text).substr(object_begin));
-        if (!core::is_ok(parsed))
-            continue;
-        auto const& line = core::value(parsed);
-        if (!line.is_object() || !belongs_to_job(line, job_id))
+        if (text.find(job_id) == std::string::npos)
             continue;
-        records.push_back({to_job_event(line), format_fields(line)});
+        auto const line = parse_line(text);
+        if (line && belongs_to_job(*line, job_id))
+            records.push_back({to_job_event(*line), format_fields(*line)});
     }
     std::stable_sort(records.begin(), records.end(),
                      [](auto const& left, auto const& right) {
@@ -172,18 +178,14 @@
 {
     std::map<std::string, evacuation_record> found;
     for (auto const& text : lines) {
-        auto const begin = text.find('{');
-        if (begin == std::string::npos ||
-            text.find("\"evacuation_") == std::string::npos)
+        if (text.find("\"evacuation_") == std::string::npos)
             continue;
-        auto const parsed =
-            core::parse_json(std::string_view(text).substr(begin));
-        if (!core::is_ok(parsed) || !core::value(parsed).is_object())
+        auto const line = parse_line(text);
+        if (!line)
             continue;
-        auto const& line = core::value(parsed);
-        auto const event = to_job_event(line);
+        auto const event = to_job_event(*line);
         auto& record =
-            found[core::valid_field_or(line, "data_centre", std::string())];
+            found[core::valid_field_or(*line, "data_centre", std::string())];
         if (event.event == "evacuation_withdrawn")
             record.withdrawn_ms = std::max(record.withdrawn_ms, event.time_ms);
         else if (event.time_ms < wait.end_ms)
