scheduler: Compute guaranteed jobs and step times once

Cause: each round with preemption computed the jobs within a guarantee twice, once for waiting and once for running work, and job_objective repeated the loop over the expected times of steps. A comment on the order of workers was out of date.

Change: the round computes the set and passes it to both; the estimator gives the times of all steps. expected_critical_path() has no caller left but its test.

--- a/packages/placement/group_fit.cpp
+++ b/packages/placement/group_fit.cpp
@@ -66,8 +66,8 @@
 
 /// Orders the workers of a candidate set. Healthy workers come first, then
 /// those with few accelerators left over, which keeps whole workers free for
-/// large tasks. Urgent tasks prefer fast workers even to small leftovers; other
-/// tasks prefer slow workers among equal leftovers.
+/// large tasks. Groups that prefer fast workers do so even to small leftovers;
+/// others take clearly fast workers last, and slow ones among equal leftovers.
 /// @return the sort key of a worker; the lowest one is filled first
 auto preference_rank(worker const& worker, waiting_group const& group,
                      resources_member available)
--- a/packages/scheduler/group_builder.cpp
+++ b/packages/scheduler/group_builder.cpp
@@ -38,6 +38,7 @@
 /// Tasks with checkpoints save one at least this often, in seconds, so no more
 /// work than that is lost by a stop.
 constexpr double max_checkpoint_age_s = 1;
+
 /// @return the cores of a task, accelerators included at their equivalent
 double core_equivalents(jobs::resources const& task)
 {
@@ -84,27 +85,6 @@
     return urgent;
 }
 
-/// @return the urgent jobs covered by their customer's guarantee: in the order
-///         of arrival, those up to which the sum of the accelerators of first
-///         steps does not exceed it
-std::set<open_job const*> guaranteed_jobs(job_map const& jobs,
-                                          jobs::rules const& rules)
-{
-    std::map<std::string, std::int64_t> used;
-    std::set<open_job const*> guaranteed;
-    for (auto const* job : urgent_jobs_by_arrival(jobs)) {
-        auto const& customer = job->submission.customer;
-        auto const guarantee = rules.guaranteed_accelerators.find(customer);
-        if (guarantee == rules.guaranteed_accelerators.end())
-            continue;
-        auto& sum = used[customer];
-        sum += accelerators_of_first_step(job->submission.spec);
-        if (sum <= guarantee->second)
-            guaranteed.insert(job);
-    }
-    return guaranteed;
-}
-
 /// @return the number of runs of a step on each agent
 std::map<std::string, std::size_t> count_running_by_agent(open_job const& job,
                                                           step_key const& key)
@@ -267,6 +247,23 @@
 
 } // namespace
 
+guaranteed_set guaranteed_jobs(job_map const& jobs, jobs::rules const& rules)
+{
+    std::map<std::string, std::int64_t> used;
+    guaranteed_set guaranteed;
+    for (auto const* job : urgent_jobs_by_arrival(jobs)) {
+        auto const& customer = job->submission.customer;
+        auto const guarantee = rules.guaranteed_accelerators.find(customer);
+        if (guarantee == rules.guaranteed_accelerators.end())
+            continue;
+        auto& sum = used[customer];
+        sum += accelerators_of_first_step(job->submission.spec);
+        if (sum <= guarantee->second)
+            guaranteed.insert(job);
+    }
+    return guaranteed;
+}
+
 bool is_step_due(jobs::submission const& job,
                  jobs::occurrence_progress const& occurrence, std::size_t step)
 {
@@ -279,11 +276,10 @@
 }
 
 std::vector<waiting_tasks>
-collect_waiting_groups(job_map& jobs, jobs::rules const& rules,
+collect_waiting_groups(job_map& jobs, guaranteed_set const& guaranteed,
                        run_time_estimator const& run_times,
                        core::time_point now)
 {
-    auto const guaranteed = guaranteed_jobs(jobs, rules);
     std::vector<waiting_tasks> groups;
     for (auto& [id, job] : jobs) {
         if (job.is_cancel_requested || jobs::is_final(job.progress.state))
@@ -328,12 +324,10 @@
     return groups;
 }
 
-std::vector<running_tasks>
-collect_preemptible_groups(job_map const& jobs, jobs::rules const& rules,
-                           run_time_estimator const& run_times,
-                           core::time_point now)
+std::vector<running_tasks> collect_preemptible_groups(
+    job_map const& jobs, guaranteed_set const& guaranteed,
+    run_time_estimator const& run_times, core::time_point now)
 {
-    auto const guaranteed = guaranteed_jobs(jobs, rules);
     std::vector<running_tasks> groups;
     std::size_t number = 0;
     for (auto const& [id, job] : jobs) {
--- a/packages/scheduler/group_builder.hpp
+++ b/packages/scheduler/group_builder.hpp
@@ -6,6 +6,7 @@
 #include "scheduler/open_job.hpp"
 #include "scheduler/run_time_estimator.hpp"
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -42,27 +43,35 @@
 bool is_step_due(jobs::submission const& job,
                  jobs::occurrence_progress const& occurrence, std::size_t step);
 
+using guaranteed_set = std::set<open_job const*>;
+
+/// @param jobs all jobs
+/// @param rules the rules in force, with the guarantees of customers
+/// @return the urgent jobs covered by their customer's guarantee: in the order
+///         of arrival, those up to which the sum of the accelerators of first
+///         steps does not exceed it
+guaranteed_set guaranteed_jobs(job_map const& jobs, jobs::rules const& rules);
+
 /// Collects the tasks that can start, a group for each step. The tasks of a
 /// gang are left out until no member runs.
 /// @param jobs all jobs; open_job::waiting_since is updated
-/// @param rules the rules in force, with the guarantees of customers
+/// @param guaranteed the jobs covered by a guarantee
 /// @param run_times estimates run times
 /// @param now the current time
 /// @return the groups in the order in which to place them
 std::vector<waiting_tasks>
-collect_waiting_groups(job_map& jobs, jobs::rules const& rules,
+collect_waiting_groups(job_map& jobs, guaranteed_set const& guaranteed,
                        run_time_estimator const& run_times,
                        core::time_point now);
 
 /// Collects the runs that may be preempted. Excludes runs that are being
 /// stopped and steps whose absences the customer has limited.
 /// @param jobs all jobs
-/// @param rules the rules in force, with the guarantees of customers
+/// @param guaranteed the jobs covered by a guarantee
 /// @param run_times estimates run times
 /// @param now the current time
-std::vector<running_tasks>
-collect_preemptible_groups(job_map const& jobs, jobs::rules const& rules,
-                           run_time_estimator const& run_times,
-                           core::time_point now);
+std::vector<running_tasks> collect_preemptible_groups(
+    job_map const& jobs, guaranteed_set const& guaranteed,
+    run_time_estimator const& run_times, core::time_point now);
 
 } // namespace sequoiaroute::scheduler
--- a/packages/scheduler/job_objective.cpp
+++ b/packages/scheduler/job_objective.cpp
@@ -4,7 +4,6 @@
 #include "scheduler/job_tasks.hpp"
 
 #include <algorithm>
-#include <vector>
 
 namespace sequoiaroute::scheduler {
 
@@ -36,11 +35,7 @@
                           run_time_estimator const& run_times)
 {
     auto const& spec = job.submission.spec;
-    std::vector<core::duration> times(spec.steps.size());
-    for (std::size_t index = 0; index < times.size(); ++index) {
-        times[index] = run_times.expected_run_time(
-            job.submission.parameters.queue, spec.steps[index].estimate);
-    }
+    auto times = run_times.expected_step_times(job.submission);
     path_times paths;
     paths.whole = jobs::critical_path_time(spec, times);
     paths.remaining = paths.whole;
--- a/packages/scheduler/run_time_estimator.cpp
+++ b/packages/scheduler/run_time_estimator.cpp
@@ -62,14 +62,20 @@
     return core::duration(static_cast<std::int64_t>(std::exp(expected_log)));
 }
 
-core::duration
-run_time_estimator::expected_critical_path(jobs::submission const& job) const
+std::vector<core::duration>
+run_time_estimator::expected_step_times(jobs::submission const& job) const
 {
     std::vector<core::duration> times;
     times.reserve(job.spec.steps.size());
     for (auto const& step : job.spec.steps)
         times.push_back(expected_run_time(job.parameters.queue, step.estimate));
-    return jobs::critical_path_time(job.spec, times);
+    return times;
+}
+
+core::duration
+run_time_estimator::expected_critical_path(jobs::submission const& job) const
+{
+    return jobs::critical_path_time(job.spec, expected_step_times(job));
 }
 
 } // namespace sequoiaroute::scheduler
--- a/packages/scheduler/run_time_estimator.hpp
+++ b/packages/scheduler/run_time_estimator.hpp
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <vector>
 
 namespace sequoiaroute::scheduler {
 
@@ -34,6 +35,10 @@
     core::duration expected_run_time(std::string const& queue,
                                      core::duration estimate) const;
 
+    /// @return the expected run time of a task of each step, by index
+    std::vector<core::duration>
+    expected_step_times(jobs::submission const& job) const;
+
     /// @return the expected run time of the longest chain of dependent steps
     core::duration expected_critical_path(jobs::submission const& job) const;
 
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -393,8 +393,9 @@
     advice_requests_.clear();
     if (start_limits_.are_starts_held)
         return;
+    auto const guaranteed = guaranteed_jobs(jobs_, *rules_);
     auto waiting =
-        collect_waiting_groups(jobs_, *rules_, statistics_.run_times, now);
+        collect_waiting_groups(jobs_, guaranteed, statistics_.run_times, now);
     if (waiting.empty())
         return;
     auto const workers = collect_workers({workers_, jobs_, statistics_,
@@ -408,7 +409,7 @@
             return tasks.group.preemption_budget > 0;
         });
     auto const running =
-        can_preempt ? collect_preemptible_groups(jobs_, *rules_,
+        can_preempt ? collect_preemptible_groups(jobs_, guaranteed,
                                                  statistics_.run_times, now)
                     : std::vector<running_tasks>();
     std::vector<placement::waiting_group> waiting_groups;
