--- a/tests/operators/rules_service_test.cpp
+++ b/tests/operators/rules_service_test.cpp
@@ -48,6 +48,20 @@
         return service;
     }
 
+    /// @return the service of an entry that knows no other process
+    std::unique_ptr<rules_service> make_isolated_service(platform::table& table)
+    {
+        return std::make_unique<rules_service>(
+            table, links_, clock_,
+            rules_peers{[] { return std::vector<peers::entry_record>(); },
+                        [] { return std::vector<std::string>(); },
+                        [] { return std::vector<std::string>(); }},
+            nullptr,
+            rules_service_options{"c", "c", core::duration(8000),
+                                  core::duration(1000), core::duration(1),
+                                  core::duration(50)});
+    }
+
     std::vector<peers::entry_record> other_entries(std::string const& id) const
     {
         std::vector<peers::entry_record> entries;
@@ -192,17 +206,11 @@
     private:
         fake_table& table_;
     } table(table_);
-    rules_service service(table, links_, clock_,
-                          {[] { return std::vector<peers::entry_record>(); },
-                           [] { return std::vector<std::string>(); },
-                           [] { return std::vector<std::string>(); }},
-                          nullptr,
-                          {"c", "c", core::duration(8000), core::duration(1000),
-                           core::duration(1), core::duration(50)});
+    auto const service = make_isolated_service(table);
     table_.set_commit_fault(fake_table::commit_fault::response_lost);
-    EXPECT_EQ(core::code_of(service.apply("ida", 0, text_with_priority(1))),
+    EXPECT_EQ(core::code_of(service->apply("ida", 0, text_with_priority(1))),
               result_code::write_unknown);
-    EXPECT_EQ(service.rules_generation(), 0U);
+    EXPECT_EQ(service->rules_generation(), 0U);
     table_.set_available(true);
     auto const repeated = a->apply("ida", 0, text_with_priority(1));
     ASSERT_TRUE(core::is_ok(repeated));
@@ -246,21 +254,15 @@
 {
     auto const a = start_entry("a");
     interrupted_table table(table_);
-    rules_service service(table, links_, clock_,
-                          {[] { return std::vector<peers::entry_record>(); },
-                           [] { return std::vector<std::string>(); },
-                           [] { return std::vector<std::string>(); }},
-                          nullptr,
-                          {"c", "c", core::duration(8000), core::duration(1000),
-                           core::duration(1), core::duration(50)});
+    auto const service = make_isolated_service(table);
     table.after_read = [&] {
         ASSERT_TRUE(core::is_ok(a->apply("ida", 0, text_with_priority(1))));
         rules_message const pushed{1, "ida", a->rules_document()};
-        service.handle({"rules", "a", "a", {}, pushed});
+        service->handle({"rules", "a", "a", {}, pushed});
     };
-    EXPECT_EQ(core::code_of(service.apply("ben", 0, text_with_priority(2))),
+    EXPECT_EQ(core::code_of(service->apply("ben", 0, text_with_priority(2))),
               result_code::rules_conflict);
-    EXPECT_EQ(service.rules_generation(), 1U);
+    EXPECT_EQ(service->rules_generation(), 1U);
 }
 
 TEST_F(rules_service_test, apply_during_an_outage_changes_nothing)
--- a/tests/placement/reservation_test.cpp
+++ b/tests/placement/reservation_test.cpp
@@ -128,18 +128,26 @@
     EXPECT_EQ(placed_tasks(run_round(workers, waiting, {}), 1), 2U);
 }
 
-// Most executors have left, and a whole-worker job waits for the headroom of
-// urgent work to be given up. Guards against a reservation for it, behind which
-// smaller jobs wait beside idle workers.
-TEST(reservation, holds_nothing_for_a_group_that_waits_for_the_headroom)
+/// @return a group for a whole worker, and a small one, which both have to
+/// leave
+///         headroom for urgent work
+std::vector<waiting_group> make_groups_with_headroom()
 {
-    std::vector<worker> const workers{make_worker("a")};
     auto whole = make_group(1, 8, 10s);
     whole.can_reserve = true;
     whole.accelerator_headroom = 4;
     auto small = make_group(1, 2, 10s);
     small.accelerator_headroom = 4;
-    std::vector<waiting_group> const waiting{whole, small};
+    return {whole, small};
+}
+
+// Most executors have left, and a whole-worker job waits for the headroom of
+// urgent work to be given up. Guards against a reservation for it, behind which
+// smaller jobs wait beside idle workers.
+TEST(reservation, holds_nothing_for_a_group_that_waits_for_the_headroom)
+{
+    std::vector<worker> const workers{make_worker("a")};
+    auto const waiting = make_groups_with_headroom();
     EXPECT_EQ(placed_tasks(run_round(workers, waiting, {}), 1), 1U);
 }
 
@@ -151,12 +159,7 @@
                                 make_worker("c")};
     add_run(workers[1], 8, 5s);
     add_run(workers[2], 8, 5s);
-    auto whole = make_group(1, 8, 10s);
-    whole.can_reserve = true;
-    whole.accelerator_headroom = 4;
-    auto small = make_group(1, 2, 10s);
-    small.accelerator_headroom = 4;
-    std::vector<waiting_group> const waiting{whole, small};
+    auto const waiting = make_groups_with_headroom();
     EXPECT_EQ(placed_tasks(run_round(workers, waiting, {}), 1), 0U);
 }
 
