event: Read nothing ahead of the request that is being answered

What callers saw: a client that sent requests ahead and read no answers made an entry or an agent take memory without bound, at any of its ports and paths, until the process ended. So did a chunked body whose size line never ends.

Cause: evhttp reads on while a request is handled and while its answer waits for the reader, and before it parses the next request; nothing bounds its input buffer. A bound on the buffer alone would stop clients within the limits, because evhttp collects a whole chunk of a body there before it takes it.

Change: connections of our own on libevent's buffers, http_connection, with the parser of Boost.Beast (libboost-dev, headers only), which takes bodies as they arrive. Input is read up to twice the header limit; while a request is answered, nothing beyond that. A line that does not end within it is refused with 431. The buffers of the sockets are 32 KB, since the kernel would hold megabytes more. What a refused client still sends is dropped for a second, so that it can read the refusal: evhttp closed the connection, which resets it. A graceful stop now waits until responses are written, not only until they are made.

Unit tests cover the order of answers, bodies up to the limit in one chunk, refusals while the client sends, 100-continue, HEAD and HTTP/1.0.

--- a/packages/event/http_client.hpp
+++ b/packages/event/http_client.hpp
@@ -1,17 +1,13 @@
 #pragma once
 
 #include "core/clock.hpp"
+#include "event/http_message.hpp"
 
 #include <functional>
 #include <string>
-#include <utility>
-#include <vector>
 
 namespace sequoiaroute::event {
 
-/// Names and values of headers.
-using http_headers = std::vector<std::pair<std::string, std::string>>;
-
 /// A request of a client.
 struct http_call
 {
