event: Bound the memory of all connections of a process together

What callers saw: clients whose bodies were each within the limit, or were cut at it, made an entry or an agent take memory without bound, at any of its ports: 64 of them took 262 to 315 MB, more took more, and the process of a small machine ended.

Cause: each connection may hold a body of 4 MB, and nothing bounded the sum.

Change: connection_pool knows of every connection of a process what it does and how much it holds: unread input, the request and the unwritten response. The largest one gives way, so a request of ordinary size is received while a crowd holds all the rest, and one of 4 MB is received in calm.

--- a/packages/event/http_connection.cpp
+++ b/packages/event/http_connection.cpp
@@ -1,5 +1,6 @@
 #include "event/http_connection.hpp"
 
+#include <algorithm>
 #include <string_view>
 #include <utility>
 
@@ -47,10 +48,22 @@
     }
 };
 
-http_connection::http_connection(event_loop& loop, int descriptor,
-                                 http_limits const& limits, owner& server,
+std::unique_ptr<http_connection>
+http_connection::create(event_loop& loop, connection_pool& pool, int descriptor,
+                        http_limits const& limits, owner& server,
+                        std::shared_ptr<std::size_t> open_count)
+{
+    std::unique_ptr<http_connection> connection(new http_connection(
+        loop, pool, descriptor, limits, server, std::move(open_count)));
+    pool.add(*connection);
+    return connection;
+}
+
+http_connection::http_connection(event_loop& loop, connection_pool& pool,
+                                 int descriptor, http_limits const& limits,
+                                 owner& server,
                                  std::shared_ptr<std::size_t> open_count)
-    : loop_(loop), limits_(limits), server_(server),
+    : pool_(pool), limits_(limits), server_(server),
       open_count_(std::move(open_count)),
       buffer_(bufferevent_socket_new(loop.base(), descriptor,
                                      BEV_OPT_CLOSE_ON_FREE)),
@@ -67,6 +80,7 @@
 
 http_connection::~http_connection()
 {
+    pool_.remove(*this);
     bufferevent_free(buffer_);
 }
 
@@ -123,6 +137,7 @@
         reinterpret_cast<char const*>(evbuffer_pullup(input, -1));
     auto const consumed = parser_.consume({bytes, size});
     evbuffer_drain(input, consumed);
+    request_bytes_ += consumed;
     if (parser_.progress() == request_parser::state::refused)
         return refuse(parser_.refusal_status());
     if (parser_.progress() == request_parser::state::complete)
@@ -130,7 +145,7 @@
     // A line of the chunked encoding is consumed only when it is complete.
     if (consumed == 0 && size >= input_limit(limits_))
         return refuse(header_too_large);
-    if (has_client_closed_)
+    if (has_client_closed_ || !report())
         return close();
     if (parser_.is_continue_expected() &&
         !std::exchange(is_continue_sent_, true)) {
@@ -145,6 +160,9 @@
     is_continue_sent_ = false;
     is_last_response_ = !parser_.is_keep_alive();
     is_body_wanted_ = parser_.is_body_wanted();
+    request_bytes_ = std::max(request_bytes_, parser_.body_memory());
+    if (!report())
+        return respond({503, {{"Retry-After", "1"}}, "{}"}, nullptr);
     auto const pending = std::make_shared<pending_response>(
         pending_response{self_, std::make_unique<open_request>(open_count_)});
     server_.handle(parser_.take(), [pending](http_response const& response) {
@@ -167,6 +185,9 @@
     is_last_response_ = is_last_response_ || server_.is_closing();
     auto const text = encode(response, is_body_wanted_, is_last_response_);
     bufferevent_write(buffer_, text.data(), text.size());
+    request_bytes_ = 0;
+    if (!report())
+        close();
 }
 
 void http_connection::finish_response()
@@ -178,7 +199,11 @@
         bufferevent_enable(buffer_, EV_READ);
     if (!is_last_response_ && (!has_client_closed_ || has_input)) {
         state_ = state::receiving;
-        return parse();
+        if (has_input)
+            return parse();
+        if (!report())
+            close();
+        return;
     }
     if (has_client_closed_ || (is_input_complete_ && !has_input))
         return close();
@@ -204,4 +229,29 @@
     server_.remove(*this);
 }
 
+bool http_connection::report()
+{
+    auto const unread = evbuffer_get_length(bufferevent_get_input(buffer_));
+    auto const unwritten = evbuffer_get_length(bufferevent_get_output(buffer_));
+    auto const request = std::max(request_bytes_, parser_.body_memory());
+    return pool_.update(*this, phase(), unread + unwritten + request);
+}
+
+connection_phase http_connection::phase() const
+{
+    switch (state_) {
+    case state::receiving:
+        return request_bytes_ > 0 ||
+                       evbuffer_get_length(bufferevent_get_input(buffer_)) > 0
+                   ? connection_phase::receiving
+                   : connection_phase::idle;
+    case state::handling:
+        return connection_phase::handling;
+    case state::responding:
+    case state::discarding:
+        return connection_phase::responding;
+    }
+    return connection_phase::idle;
+}
+
 } // namespace sequoiaroute::event
--- a/packages/event/http_connection.hpp
+++ b/packages/event/http_connection.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "event/connection_pool.hpp"
 #include "event/event_loop.hpp"
 #include "event/http_message.hpp"
 #include "event/request_parser.hpp"
@@ -31,7 +32,7 @@
 /// A connection of a client to a server. It handles one request at a time: what
 /// a client sends ahead is not read before the last response has been written,
 /// but for one buffer.
-class http_connection
+class http_connection final : private pooled_connection
 {
 public:
     /// The server of a connection.
@@ -50,17 +51,22 @@
         virtual void remove(http_connection& closed) = 0;
     };
 
-    /// Takes ownership of a connected socket.
+    /// Takes ownership of a connected socket, and adds the connection to the
+    /// pool.
     /// @param loop handles the socket; must outlive the connection
+    /// @param pool the connections of the process; must outlive the connection
     /// @param descriptor the socket, which does not block
     /// @param limits the limits of requests; must outlive the connection
     /// @param server the server; must outlive the connection
     /// @param open_count the number of open requests of the server
-    http_connection(event_loop& loop, int descriptor, http_limits const& limits,
-                    owner& server, std::shared_ptr<std::size_t> open_count);
+    static std::unique_ptr<http_connection>
+    create(event_loop& loop, connection_pool& pool, int descriptor,
+           http_limits const& limits, owner& server,
+           std::shared_ptr<std::size_t> open_count);
+
     http_connection(http_connection const&) = delete;
     http_connection& operator=(http_connection const&) = delete;
-    ~http_connection();
+    ~http_connection() override;
 
 private:
     enum class state
@@ -74,6 +80,12 @@
     /// The response to a request, which may come after the connection ended.
     struct pending_response;
 
+    http_connection(event_loop& loop, connection_pool& pool, int descriptor,
+                    http_limits const& limits, owner& server,
+                    std::shared_ptr<std::size_t> open_count);
+
+    void evict() override { close(); }
+
     static void on_readable(bufferevent* buffer, void* self);
     static void on_written(bufferevent* buffer, void* self);
     static void on_event(bufferevent* buffer, short events, void* self);
@@ -92,8 +104,13 @@
     /// before the client has read the last response.
     void discard_input();
     void close();
+    /// Tells the pool what the connection does and holds.
+    /// @return false if the connection has to give way
+    [[nodiscard]] bool report();
+    /// @return the phase for the pool
+    connection_phase phase() const;
 
-    event_loop& loop_;
+    connection_pool& pool_;
     http_limits const& limits_;
     owner& server_;
     std::shared_ptr<std::size_t> open_count_;
@@ -107,6 +124,8 @@
     bool is_input_complete_ = true;
     bool has_client_closed_ = false;
     std::size_t discarded_bytes_ = 0;
+    /// The memory that the present request takes, without unread input.
+    std::size_t request_bytes_ = 0;
     std::unique_ptr<open_request> open_request_; ///< while responding
     /// Tells pending responses whether the connection still exists.
     std::shared_ptr<http_connection*> self_;
--- a/packages/event/http_server.cpp
+++ b/packages/event/http_server.cpp
@@ -36,18 +36,19 @@
 } // namespace
 
 core::result<std::unique_ptr<http_server>>
-http_server::create(event_loop& loop, std::string const& address,
-                    limits request_limits, handler request_handler)
+http_server::create(event_loop& loop, connection_pool& pool,
+                    std::string const& address, limits request_limits,
+                    handler request_handler)
 {
     std::unique_ptr<http_server> server(new http_server(
-        loop, std::move(request_limits), std::move(request_handler)));
+        loop, pool, std::move(request_limits), std::move(request_handler)));
     SEQUOIA_TRY(server->listen(address));
     return server;
 }
 
-http_server::http_server(event_loop& loop, limits request_limits,
-                         handler request_handler)
-    : loop_(loop), limits_(std::move(request_limits)),
+http_server::http_server(event_loop& loop, connection_pool& pool,
+                         limits request_limits, handler request_handler)
+    : loop_(loop), pool_(pool), limits_(std::move(request_limits)),
       handler_(std::move(request_handler)),
       open_requests_(std::make_shared<std::size_t>(0))
 {
@@ -91,8 +92,8 @@
 void http_server::accept(int descriptor)
 {
     http_connection::owner& owner = *this;
-    auto connection = std::make_unique<http_connection>(
-        loop_, descriptor, limits_, owner, open_requests_);
+    auto connection = http_connection::create(loop_, pool_, descriptor, limits_,
+                                              owner, open_requests_);
     auto* const key = connection.get();
     connections_.emplace(key, std::move(connection));
 }
--- a/packages/event/http_server.hpp
+++ b/packages/event/http_server.hpp
@@ -24,13 +24,14 @@
 
     /// Listens on an address.
     /// @param loop handles the sockets; must outlive the server
+    /// @param pool the connections of the process; must outlive the server
     /// @param address IP:PORT
     /// @param request_limits the limits of requests
     /// @param request_handler called with each request
     /// @return the server, or internal_error if it cannot listen on the address
     static core::result<std::unique_ptr<http_server>>
-    create(event_loop& loop, std::string const& address, limits request_limits,
-           handler request_handler);
+    create(event_loop& loop, connection_pool& pool, std::string const& address,
+           limits request_limits, handler request_handler);
 
     ~http_server() override;
 
@@ -41,7 +42,7 @@
     void close_connections_after_responses() { is_closing_ = true; }
 
 private:
-    http_server(event_loop& loop, limits request_limits,
+    http_server(event_loop& loop, connection_pool& pool, limits request_limits,
                 handler request_handler);
 
     void handle(http_request request, http_responder respond) override;
@@ -52,6 +53,7 @@
     void accept(int descriptor);
 
     event_loop& loop_;
+    connection_pool& pool_;
     limits limits_;
     handler handler_;
     std::shared_ptr<std::size_t> open_requests_;
--- a/packages/programs/metrics_server.cpp
+++ b/packages/programs/metrics_server.cpp
@@ -5,10 +5,11 @@
 namespace sequoiaroute::programs {
 
 core::result<std::unique_ptr<event::http_server>>
-create_metrics_server(event::event_loop& loop, std::string const& address)
+create_metrics_server(event::event_loop& loop, event::connection_pool& pool,
+                      std::string const& address)
 {
     return event::http_server::create(
-        loop, address, {},
+        loop, pool, address, {},
         [](event::http_request const&, event::http_responder const& respond) {
             respond({200, {}, metrics::text(), "text/plain; version=0.0.4"});
         });
--- a/packages/programs/schedule_entry.cpp
+++ b/packages/programs/schedule_entry.cpp
@@ -15,6 +15,7 @@
 #include "metrics/metrics.hpp"
 #include "notices/http_notices.hpp"
 #include "operator_table.hpp"
+#include "programs/connection_settings.hpp"
 #include "programs/metrics_server.hpp"
 #include "rows/monitored_store.hpp"
 #include "rows/row_layout.hpp"
@@ -45,24 +46,27 @@
 constexpr core::duration takeover_delay{250};
 /// Added to the promised retention of finished jobs, bounds.state_kept.
 constexpr core::duration retention_margin{60'000};
-
 std::vector<core::setting_description> const& setting_descriptions()
 {
     using core::setting_type;
-    static std::vector<core::setting_description> const list{
-        {"process", "node", setting_type::text, {}, true},
-        {"listen", "customers", setting_type::address, {}, true},
-        {"listen", "readiness", setting_type::address, {}, true},
-        {"listen", "entries", setting_type::address, {}, true},
-        {"listen", "metrics", setting_type::address, {}, true},
-        {"store", "address", setting_type::address, {}, true},
-        {"advice", "address", setting_type::address_list, {}, false},
-        {"bounds", "lease", setting_type::time, "6s", false},
-        {"bounds", "stop", setting_type::time, "1s", false},
-        {"bounds", "grace", setting_type::time, "6s", false},
-        {"bounds", "state_kept", setting_type::time, "120s", false},
-        {"bounds", "evacuation", setting_type::time, "0s", false},
-    };
+    static auto const list = [] {
+        std::vector<core::setting_description> descriptions{
+            {"process", "node", setting_type::text, {}, true},
+            {"listen", "customers", setting_type::address, {}, true},
+            {"listen", "readiness", setting_type::address, {}, true},
+            {"listen", "entries", setting_type::address, {}, true},
+            {"listen", "metrics", setting_type::address, {}, true},
+            {"store", "address", setting_type::address, {}, true},
+            {"advice", "address", setting_type::address_list, {}, false},
+            {"bounds", "lease", setting_type::time, "6s", false},
+            {"bounds", "stop", setting_type::time, "1s", false},
+            {"bounds", "grace", setting_type::time, "6s", false},
+            {"bounds", "state_kept", setting_type::time, "120s", false},
+            {"bounds", "evacuation", setting_type::time, "0s", false},
+        };
+        add_connection_settings(descriptions);
+        return descriptions;
+    }();
     return list;
 }
 
@@ -118,7 +122,8 @@
               {settings_.text("process.node"),
                settings_.text("listen.entries"),
                make_scheduler_limits(settings_),
-               {settings_.time("bounds.evacuation")}})
+               {settings_.time("bounds.evacuation")}}),
+          connection_pool_(make_connection_limits(settings_))
     {
     }
 
@@ -127,30 +132,33 @@
     ///         be bound
     core::status run()
     {
-        SEQUOIA_TRY_INTO(customer_server_,
-                         adapter::customer_server::create(
-                             *loop_, settings_.text("listen.customers"),
-                             [this](gateway::customer_call call,
-                                    gateway::customer_responder respond) {
-                                 handle_call(std::move(call),
-                                             std::move(respond));
-                             }));
         SEQUOIA_TRY_INTO(
-            readiness_server_,
-            adapter::create_readiness_server(
-                *loop_, settings_.text("listen.readiness"), [this] {
-                    return !is_stopping_ && customer_service_.is_ready();
+            customer_server_,
+            adapter::customer_server::create(
+                *loop_, connection_pool_, settings_.text("listen.customers"),
+                [this](gateway::customer_call call,
+                       gateway::customer_responder respond) {
+                    handle_call(std::move(call), std::move(respond));
                 }));
+        SEQUOIA_TRY_INTO(readiness_server_,
+                         adapter::create_readiness_server(
+                             *loop_, connection_pool_,
+                             settings_.text("listen.readiness"), [this] {
+                                 return !is_stopping_ &&
+                                        customer_service_.is_ready();
+                             }));
         SEQUOIA_TRY_INTO(peer_server_,
                          event::http_server::create(
-                             *loop_, settings_.text("listen.entries"), {},
+                             *loop_, connection_pool_,
+                             settings_.text("listen.entries"), {},
                              [this](event::http_request const& request,
                                     event::http_responder const& respond) {
                                  serve_peer(request, respond);
                              }));
         SEQUOIA_TRY_INTO(
             metrics_server_,
-            create_metrics_server(*loop_, settings_.text("listen.metrics")));
+            create_metrics_server(*loop_, connection_pool_,
+                                  settings_.text("listen.metrics")));
         auto const terminate =
             loop_->on_signal(SIGTERM, [this] { begin_stop(); });
         auto const interrupt =
@@ -284,6 +292,7 @@
     notices::http_notice_sender notice_sender_;
     adapter::advice_client advice_client_;
     scheduler::decider_service decider_service_;
+    event::connection_pool connection_pool_;
     std::unique_ptr<adapter::customer_server> customer_server_;
     std::unique_ptr<event::http_server> readiness_server_;
     std::unique_ptr<event::http_server> peer_server_;
--- a/packages/programs/store_agent.cpp
+++ b/packages/programs/store_agent.cpp
@@ -8,6 +8,7 @@
 #include "executor_client.hpp"
 #include "heartbeat_server.hpp"
 #include "notices/http_notices.hpp"
+#include "programs/connection_settings.hpp"
 #include "programs/metrics_server.hpp"
 #include "store_client.hpp"
 
@@ -20,17 +21,21 @@
 std::vector<core::setting_description> const& setting_descriptions()
 {
     using core::setting_type;
-    static std::vector<core::setting_description> const list{
-        {"process", "node", setting_type::text, {}, true},
-        {"process", "address", setting_type::text, {}, true},
-        {"listen", "heartbeats", setting_type::address, {}, true},
-        {"listen", "notices", setting_type::address, {}, true},
-        {"listen", "metrics", setting_type::address, {}, true},
-        {"executor", "address", setting_type::address, {}, true},
-        {"store", "address", setting_type::address, {}, true},
-        {"bounds", "lease", setting_type::time, "6s", false},
-        {"bounds", "stop", setting_type::time, "1s", false},
-    };
+    static auto const list = [] {
+        std::vector<core::setting_description> descriptions{
+            {"process", "node", setting_type::text, {}, true},
+            {"process", "address", setting_type::text, {}, true},
+            {"listen", "heartbeats", setting_type::address, {}, true},
+            {"listen", "notices", setting_type::address, {}, true},
+            {"listen", "metrics", setting_type::address, {}, true},
+            {"executor", "address", setting_type::address, {}, true},
+            {"store", "address", setting_type::address, {}, true},
+            {"bounds", "lease", setting_type::time, "6s", false},
+            {"bounds", "stop", setting_type::time, "1s", false},
+        };
+        add_connection_settings(descriptions);
+        return descriptions;
+    }();
     return list;
 }
 
@@ -50,10 +55,11 @@
                       settings.time("bounds.stop")};
     notices::http_notice_sender notices(client);
     agents::agent_service agent(store, *loop, executor, notices, options);
+    event::connection_pool connections(make_connection_limits(settings));
     SEQUOIA_TRY_INTO(
         auto const server,
         adapter::heartbeat_server::create(
-            *loop, settings.text("listen.heartbeats"),
+            *loop, connections, settings.text("listen.heartbeats"),
             {[&](adapter::heartbeat message) {
                  agent.receive_heartbeat(std::move(message.worker),
                                          message.sequence);
@@ -70,15 +76,15 @@
     SEQUOIA_TRY_INTO(
         auto const notice_server,
         event::http_server::create(
-            *loop, settings.text("listen.notices"), {},
+            *loop, connections, settings.text("listen.notices"), {},
             [&](event::http_request const& request,
                 event::http_responder const& respond) {
                 if (!notices::serve_notice(handlers, request, respond))
                     respond({404, {}, "{}", "application/json"});
             }));
-    SEQUOIA_TRY_INTO(
-        auto const metrics_server,
-        create_metrics_server(*loop, settings.text("listen.metrics")));
+    SEQUOIA_TRY_INTO(auto const metrics_server,
+                     create_metrics_server(*loop, connections,
+                                           settings.text("listen.metrics")));
     auto const end = [&] {
         core::log_event("stop_requested", {});
         loop->stop();
--- a/tests/event/http_connection_test.cpp
+++ b/tests/event/http_connection_test.cpp
@@ -40,8 +40,8 @@
 
     void serve(http_limits const& limits, http_server::handler handle)
     {
-        server = core::value(
-            http_server::create(*loop, address, limits, std::move(handle)));
+        server = core::value(http_server::create(*loop, pool, address, limits,
+                                                 std::move(handle)));
     }
 
     /// Runs the loop while a client sends bytes and receives all until the
@@ -81,6 +81,7 @@
 
     std::unique_ptr<event_loop> loop;
     std::string address;
+    connection_pool pool{{}};
     std::unique_ptr<http_server> server;
 };
 
--- a/tests/event/http_test.cpp
+++ b/tests/event/http_test.cpp
@@ -22,7 +22,7 @@
     void serve(http_server::handler handle)
     {
         server = core::value(
-            http_server::create(*loop, address, {}, std::move(handle)));
+            http_server::create(*loop, pool, address, {}, std::move(handle)));
     }
 
     /// Runs the loop until the call has its outcome.
@@ -40,6 +40,7 @@
     std::unique_ptr<event_loop> loop;
     evhttp_client client;
     std::string address;
+    connection_pool pool{{}};
     std::unique_ptr<http_server> server;
 };
 
--- a/tests/soak/executor_server.cpp
+++ b/tests/soak/executor_server.cpp
@@ -83,7 +83,7 @@
     limits.kept_headers = {"X-Expect-Instance"};
     SEQUOIA_TRY_INTO(server_,
                      event::http_server::create(
-                         loop_, endpoints_.own, limits,
+                         loop_, connections_, endpoints_.own, limits,
                          [this](auto const& request, auto const& respond) {
                              serve(request, respond);
                          }));
--- a/tests/soak/executor_server.hpp
+++ b/tests/soak/executor_server.hpp
@@ -141,6 +141,7 @@
     random_source& random_;
     std::string rack_;
     event::evhttp_client client_;
+    event::connection_pool connections_{{}};
     std::unique_ptr<event::http_server> server_;
     bool is_draining_ = false;
     bool has_deregistered_ = false;
--- a/tests/soak/store_server.cpp
+++ b/tests/soak/store_server.cpp
@@ -92,7 +92,7 @@
     SEQUOIA_TRY_INTO(
         self->server_,
         event::http_server::create(
-            loop, address, {},
+            loop, self->connections_, address, {},
             [owner = self.get()](auto const& request, auto const& respond) {
                 owner->serve(request, respond);
             }));
--- a/tests/soak/store_server.hpp
+++ b/tests/soak/store_server.hpp
@@ -74,6 +74,7 @@
     event::event_loop& loop_;
     support::memory_row_store& store_;
     random_source& random_;
+    event::connection_pool connections_{{}};
     std::unique_ptr<event::http_server> server_;
     std::map<std::uint64_t, std::unique_ptr<event::timer>> timers_;
     std::uint64_t last_timer_ = 0;
--- a/tests/soak/test_system.cpp
+++ b/tests/soak/test_system.cpp
@@ -97,7 +97,8 @@
         run_number =
             1 + (static_cast<int>(::getpid()) + attempt) % run_number_count;
         auto server = event::http_server::create(
-            loop_, address(address_claim_network, 0, customer_port), {},
+            loop_, connections_,
+            address(address_claim_network, 0, customer_port), {},
             [](auto const&, auto const& respond) { respond({}); });
         if (core::is_ok(server)) {
             address_claim_ = core::value(std::move(server));
--- a/tests/soak/test_system.hpp
+++ b/tests/soak/test_system.hpp
@@ -152,6 +152,7 @@
     std::int64_t rules_version_ = 0;
     /// Listens on one address of the range, so that other runs do not choose
     /// the same range.
+    event::connection_pool connections_{{}};
     std::unique_ptr<event::http_server> address_claim_;
 };
 
