event: Bound the connections of a process below its descriptors

What callers saw: as soon as clients kept more connections open than a process may have descriptors, nobody else was answered, at any port, for as long as these connections stayed; the process used a whole core meanwhile.

Cause: every connection was accepted until none could be, and then accept() failed again at once, for ever. Idle ones and those within a request were closed after a minute of silence only, and no descriptor was left for the store and executors.

A server that can accept nothing waits for 100 ms.

--- a/packages/event/connection_pool.cpp
+++ b/packages/event/connection_pool.cpp
@@ -2,7 +2,7 @@
 
 #include "core/event_log.hpp"
 
-#include <iterator>
+#include <algorithm>
 
 namespace sequoiaroute::event {
 
@@ -25,10 +25,20 @@
 
 } // namespace
 
-void connection_pool::add(pooled_connection& added)
+bool connection_pool::add(pooled_connection& added)
 {
+    if (entries_.size() >= limits_.connections) {
+        auto const victim = longest_waiting();
+        if (victim == entries_.end()) {
+            core::log_event("connection_refused",
+                            {{"reason", "too many connections"}});
+            return false;
+        }
+        evict(victim, "too many connections");
+    }
     entries_.push_back({&added, connection_phase::idle, 0});
     index_[&added] = std::prev(entries_.end());
+    return true;
 }
 
 void connection_pool::remove(pooled_connection& removed)
@@ -58,6 +68,20 @@
     return true;
 }
 
+connection_pool::entry_list::iterator connection_pool::longest_waiting()
+{
+    auto const is_idle = [](entry const& candidate) {
+        return candidate.phase == connection_phase::idle;
+    };
+    auto const is_waiting = [](entry const& candidate) {
+        return candidate.phase != connection_phase::handling;
+    };
+    auto const idle = std::find_if(entries_.begin(), entries_.end(), is_idle);
+    if (idle != entries_.end())
+        return idle;
+    return std::find_if(entries_.begin(), entries_.end(), is_waiting);
+}
+
 connection_pool::entry_list::iterator connection_pool::largest()
 {
     auto result = entries_.end();
--- a/packages/event/connection_pool.hpp
+++ b/packages/event/connection_pool.hpp
@@ -31,14 +31,21 @@
 /// Limits of all connections of the clients of a process.
 struct connection_limits
 {
+    std::size_t connections = 1024;
     /// Memory for requests and responses that are not complete, in bytes.
     std::size_t buffered_bytes = 32'000'000;
 };
 
-/// Bounds the memory that the connections of all servers of a process hold, so
-/// that no crowd of clients ends the process. At the limit, it closes the
-/// connection that holds most. Connections whose request is being handled are
-/// never closed.
+/// Bounds the connections of all servers of a process and the memory that they
+/// hold, so that no crowd of clients ends the process. At a limit, it closes
+/// the connections whose clients make the least use of them:
+///
+/// * without a free connection, the one that has been idle for longest, else
+/// the
+///   one that has waited for its client for longest;
+/// * without free memory, the one that holds most.
+///
+/// Connections whose request is being handled are never closed.
 class connection_pool
 {
 public:
@@ -49,7 +56,9 @@
     /// Adds a connection; it is idle and holds nothing.
     /// @param added the connection, which must be removed before it is
     /// destroyed
-    void add(pooled_connection& added);
+    /// @return false if the limit is reached and no connection may be closed;
+    ///         the connection is not added then
+    bool add(pooled_connection& added);
 
     /// Removes a connection; no effect if it is not in the pool.
     void remove(pooled_connection& removed);
@@ -76,6 +85,8 @@
 
     using entry_list = std::list<entry>;
 
+    /// @return the connection to close for another one; end() if there is none
+    entry_list::iterator longest_waiting();
     /// @return the connection to close for its memory; end() if there is none
     entry_list::iterator largest();
     /// Closes a connection and logs why.
--- a/packages/event/http_connection.cpp
+++ b/packages/event/http_connection.cpp
@@ -55,7 +55,8 @@
 {
     std::unique_ptr<http_connection> connection(new http_connection(
         loop, pool, descriptor, limits, server, std::move(open_count)));
-    pool.add(*connection);
+    if (!pool.add(*connection))
+        return nullptr;
     return connection;
 }
 
--- a/packages/event/http_connection.hpp
+++ b/packages/event/http_connection.hpp
@@ -59,6 +59,8 @@
     /// @param limits the limits of requests; must outlive the connection
     /// @param server the server; must outlive the connection
     /// @param open_count the number of open requests of the server
+    /// @return the connection; null if the pool is full, and the socket is
+    ///         closed then
     static std::unique_ptr<http_connection>
     create(event_loop& loop, connection_pool& pool, int descriptor,
            http_limits const& limits, owner& server,
--- a/packages/event/http_server.cpp
+++ b/packages/event/http_server.cpp
@@ -17,6 +17,9 @@
 namespace {
 
 constexpr int listen_backlog = 512;
+/// The time without new connections after one could not be accepted, as when no
+/// descriptor is left.
+constexpr core::duration accept_pause{100};
 /// The kernel holds twice as much for each direction of a connection. It would
 /// otherwise hold megabytes of what a client sends ahead or does not read.
 constexpr int socket_buffer_bytes = 32'768;
@@ -86,6 +89,9 @@
         setsockopt(descriptor, SOL_SOCKET, option, &socket_buffer_bytes,
                    sizeof(socket_buffer_bytes));
     }
+    evconnlistener_set_error_cb(listener_, [](evconnlistener*, void* self) {
+        static_cast<http_server*>(self)->pause();
+    });
     return core::success();
 }
 
@@ -94,10 +100,19 @@
     http_connection::owner& owner = *this;
     auto connection = http_connection::create(loop_, pool_, descriptor, limits_,
                                               owner, open_requests_);
+    if (connection == nullptr)
+        return;
     auto* const key = connection.get();
     connections_.emplace(key, std::move(connection));
 }
 
+void http_server::pause()
+{
+    evconnlistener_disable(listener_);
+    pause_timer_ =
+        loop_.after(accept_pause, [this] { evconnlistener_enable(listener_); });
+}
+
 void http_server::remove(http_connection& closed)
 {
     connections_.erase(&closed);
--- a/packages/event/http_server.hpp
+++ b/packages/event/http_server.hpp
@@ -51,6 +51,8 @@
 
     core::status listen(std::string const& address);
     void accept(int descriptor);
+    /// Stops to accept connections for a moment.
+    void pause();
 
     event_loop& loop_;
     connection_pool& pool_;
@@ -60,6 +62,7 @@
     bool is_closing_ = false;
     std::map<http_connection*, std::unique_ptr<http_connection>> connections_;
     evconnlistener* listener_ = nullptr;
+    std::unique_ptr<timer> pause_timer_;
 };
 
 } // namespace sequoiaroute::event
--- a/packages/programs/schedule_entry.cpp
+++ b/packages/programs/schedule_entry.cpp
@@ -46,6 +46,9 @@
 constexpr core::duration takeover_delay{250};
 /// Added to the promised retention of finished jobs, bounds.state_kept.
 constexpr core::duration retention_margin{60'000};
+/// The default of limits.connections.
+constexpr std::size_t default_connections = 1024;
+
 std::vector<core::setting_description> const& setting_descriptions()
 {
     using core::setting_type;
@@ -64,7 +67,7 @@
             {"bounds", "state_kept", setting_type::time, "120s", false},
             {"bounds", "evacuation", setting_type::time, "0s", false},
         };
-        add_connection_settings(descriptions);
+        add_connection_settings(descriptions, default_connections);
         return descriptions;
     }();
     return list;
--- a/packages/programs/store_agent.cpp
+++ b/packages/programs/store_agent.cpp
@@ -18,6 +18,10 @@
 
 namespace {
 
+/// The default of limits.connections. An agent serves one executor, the decider
+/// and a few entries.
+constexpr std::size_t default_connections = 256;
+
 std::vector<core::setting_description> const& setting_descriptions()
 {
     using core::setting_type;
@@ -33,7 +37,7 @@
             {"bounds", "lease", setting_type::time, "6s", false},
             {"bounds", "stop", setting_type::time, "1s", false},
         };
-        add_connection_settings(descriptions);
+        add_connection_settings(descriptions, default_connections);
         return descriptions;
     }();
     return list;
--- a/tests/event/connection_pool_test.cpp
+++ b/tests/event/connection_pool_test.cpp
@@ -17,9 +17,10 @@
 class connection_pool_test : public testing::Test
 {
 protected:
-    connection_pool pool{{.buffered_bytes = 100}};
+    connection_pool pool{{.connections = 2, .buffered_bytes = 100}};
     connection_mock first;
     connection_mock second;
+    connection_mock third;
 };
 
 // Guards against a sum of requests, each within the limits, that takes all
@@ -54,6 +55,24 @@
     pool.add(second);
     EXPECT_TRUE(pool.update(first, connection_phase::handling, 90));
     EXPECT_FALSE(pool.update(second, connection_phase::handling, 20));
+    EXPECT_FALSE(pool.add(third));
+    EXPECT_TRUE(pool.update(second, connection_phase::idle, 0));
+    EXPECT_CALL(second, evict());
+    EXPECT_TRUE(pool.add(third));
+}
+
+// Guards against a crowd of connections that keeps ordinary callers out.
+TEST_F(connection_pool_test, closes_idle_connections_for_new_ones)
+{
+    pool.add(first);
+    pool.add(second);
+    EXPECT_TRUE(pool.update(first, connection_phase::receiving, 1));
+    EXPECT_CALL(second, evict());
+    EXPECT_TRUE(pool.add(third));
+    EXPECT_TRUE(pool.update(third, connection_phase::responding, 1));
+    EXPECT_CALL(first, evict());
+    EXPECT_TRUE(pool.add(second));
+    EXPECT_EQ(pool.connections(), 2U);
 }
 
 } // namespace
