core: Bound the values of a JSON text

What callers saw: four bodies of 4 MB, each within the limits and without a key, took an entry to 1.6 GB at the customers' port, and processes to 186 and 189 MB at the ports for entries and heartbeats. One is enough for a small machine.

Cause: a text of 4 MB may hold a million values of two bytes. The parser makes a hundred bytes of each, and decode_job() three hundred of each step, before the key and the number of steps are checked.

Unit tests check the limit of values, commas in strings, and the largest number of steps.

--- a/packages/core/codec.cpp
+++ b/packages/core/codec.cpp
@@ -19,10 +19,17 @@
         fmt::format("nested deeper than {} levels", max_document_depth));
 }
 
-/// @return whether the arrays and objects of a JSON text are nested deeper than
-///         the limit; texts with other faults are left to the parser
-bool is_too_deep(std::string_view text)
+/// The size of the document that a parser would make of a JSON text.
+struct document_shape
 {
+    std::size_t depth = 0; ///< the deepest nesting of arrays and objects
+    std::size_t value_count = 1;
+};
+
+/// @return the shape of a text; faults of the text are left to the parser
+document_shape measure(std::string_view text)
+{
+    document_shape shape;
     std::size_t depth = 0;
     bool is_in_string = false;
     for (std::size_t index = 0; index < text.size(); ++index) {
@@ -34,14 +41,16 @@
                 is_in_string = false;
         } else if (character == '"') {
             is_in_string = true;
+        } else if (character == ',') {
+            ++shape.value_count;
         } else if (character == '[' || character == '{') {
-            if (++depth > max_document_depth)
-                return true;
+            ++shape.value_count;
+            shape.depth = std::max(shape.depth, ++depth);
         } else if ((character == ']' || character == '}') && depth > 0) {
             --depth;
         }
     }
-    return false;
+    return shape;
 }
 
 /// Receives the events of a parser, and ends the parsing of a document that is
@@ -114,8 +123,13 @@
 {
     if (text.size() > max_document_bytes)
         return make_error("the text is too large");
-    if (is_too_deep(text))
+    auto const shape = measure(text);
+    if (shape.depth > max_document_depth)
         return depth_error();
+    if (shape.value_count > max_document_values) {
+        return make_error(
+            fmt::format("more than {} values", max_document_values));
+    }
     try {
         return json::parse(text);
     } catch (json::exception const& exception) {
--- a/packages/core/codec.hpp
+++ b/packages/core/codec.hpp
@@ -22,6 +22,9 @@
 constexpr std::size_t max_document_depth = 64;
 /// The largest document that is read, in bytes.
 constexpr std::size_t max_document_bytes = 33'554'432;
+/// The most values of a JSON text, members of objects included. A value takes a
+/// hundred bytes, a text of it two.
+constexpr std::size_t max_document_values = 131'072;
 /// The largest count of something, such as an amount of a resource. Sums over
 /// all tasks and workers of a fleet stay within the range of an integer.
 constexpr std::int64_t max_count = 1'000'000'000'000;
--- a/tests/adapter/adapter_test.cpp
+++ b/tests/adapter/adapter_test.cpp
@@ -345,6 +345,11 @@
     EXPECT_TRUE(job->steps.at(1).is_gang);
     EXPECT_EQ(job->repeats, 3);
     EXPECT_FALSE(decode_job("{}"));
+    std::string steps = "{}";
+    for (std::size_t count = 1; count < jobs::max_steps; ++count)
+        steps += ",{}";
+    EXPECT_TRUE(decode_job(R"({"Steps":[)" + steps + "]}"));
+    EXPECT_FALSE(decode_job(R"({"Steps":[)" + steps + ",{}]}"));
     EXPECT_FALSE(decode_job(R"({"Steps":[{"Count":"x"}]})"));
 }
 
--- a/tests/core/codec_test.cpp
+++ b/tests/core/codec_test.cpp
@@ -30,6 +30,22 @@
     EXPECT_TRUE(is_ok(parse_json(R"({"a":"[[[[\"[[","b":[{}]})")));
 }
 
+// Guards against a process that runs out of memory because the values of a text
+// take far more of it than the text.
+TEST(codec, refuses_too_many_values)
+{
+    auto const array_of = [](std::size_t count) {
+        std::string text = "[0";
+        for (std::size_t index = 1; index < count; ++index)
+            text += ",0";
+        return text + "]";
+    };
+    EXPECT_TRUE(is_ok(parse_json(array_of(max_document_values - 2))));
+    EXPECT_FALSE(is_ok(parse_json(array_of(max_document_values))));
+    std::string const commas(max_document_values, ',');
+    EXPECT_TRUE(is_ok(parse_json('"' + commas + '"')));
+}
+
 // Guards against an exception that leaves the parser: a number too large for
 // the library is an error of another kind than a syntax error.
 TEST(codec, reports_every_fault_of_a_text)
