tests: Follow the linter in the tests of clients and connections

Cause: clang-tidy reported the names of members of fixtures, PrintTo(), and a result of connect() that is left to the first send call.

Result: clang-tidy reports nothing for these files; no assertion changes.

--- a/tests/clients/client_crowd.cpp
+++ b/tests/clients/client_crowd.cpp
@@ -94,8 +94,9 @@
                sizeof(receive_buffer_bytes));
     auto const target = to_sockaddr(plan_.address);
     // A refused connection shows as an error of the first send call.
-    ::connect(opened.descriptor, reinterpret_cast<sockaddr const*>(&target),
-              sizeof(target));
+    static_cast<void>(::connect(opened.descriptor,
+                                reinterpret_cast<sockaddr const*>(&target),
+                                sizeof(target)));
     opened.sent_bytes = 0;
 }
 
--- a/tests/clients/misbehaving_clients_test.cpp
+++ b/tests/clients/misbehaving_clients_test.cpp
@@ -34,10 +34,10 @@
     std::string port;
 };
 
-void PrintTo(door const& printed, std::ostream* output)
+std::ostream& operator<<(std::ostream& output, door const& printed)
 {
-    *output << (printed.server == program::entry ? "entry_" : "agent_")
-            << printed.port;
+    return output << (printed.server == program::entry ? "entry_" : "agent_")
+                  << printed.port;
 }
 
 class misbehaving_clients : public testing::TestWithParam<door>
--- a/tests/event/connection_pool_test.cpp
+++ b/tests/event/connection_pool_test.cpp
@@ -16,7 +16,7 @@
 
 class connection_pool_test : public testing::Test
 {
-protected:
+public:
     connection_pool pool{{.connections = 2, .buffered_bytes = 100}};
     connection_mock first;
     connection_mock second;
--- a/tests/event/http_connection_test.cpp
+++ b/tests/event/http_connection_test.cpp
@@ -19,7 +19,7 @@
 
 class http_connection_test : public testing::Test
 {
-protected:
+public:
     http_connection_test()
         : loop(core::value(event_loop::create())),
           address(support::free_address())
