event: Never handle a request that was refused for want of memory

What callers would have seen: a request that was answered with 503, so that it had not run, was handed to the handler when the same connection sent the next one, or its connection was closed in place of the answer.

Cause: the refused request stayed in the parser, as a complete one. Found by reading the change.

Change: the request is taken from the parser before the pool is asked.

--- a/packages/event/http_connection.cpp
+++ b/packages/event/http_connection.cpp
@@ -162,13 +162,14 @@
     is_last_response_ = !parser_.is_keep_alive();
     is_body_wanted_ = parser_.is_body_wanted();
     request_bytes_ = std::max(request_bytes_, parser_.body_memory());
+    auto request = parser_.take();
     if (!report())
         return respond({503, {{"Retry-After", "1"}}, "{}"}, nullptr);
     auto const pending = std::make_shared<pending_response>(
         pending_response{self_, std::make_unique<open_request>(open_count_)});
-    server_.handle(parser_.take(), [pending](http_response const& response) {
-        pending->send(response);
-    });
+    server_.handle(
+        std::move(request),
+        [pending](http_response const& response) { pending->send(response); });
 }
 
 void http_connection::refuse(int status)
--- a/tests/event/http_connection_test.cpp
+++ b/tests/event/http_connection_test.cpp
@@ -179,6 +179,44 @@
     EXPECT_THAT(exchange("GET /old HTTP/1.0\r\n\r\n"), HasSubstr("/old 0"));
 }
 
+// Guards against a request that is handled after its client was told that it
+// has not run.
+TEST_F(http_connection_test, never_handles_a_request_refused_for_memory)
+{
+    connection_pool small_pool{{.connections = 10, .buffered_bytes = 1200}};
+    std::vector<std::string> handled;
+    std::vector<http_responder> held;
+    std::atomic<bool> is_held = false;
+    server = core::value(http_server::create(
+        *loop, small_pool, address, {},
+        [&](http_request const& request, http_responder const& respond) {
+            handled.push_back(request.path);
+            if (request.path != "/held")
+                return respond({});
+            held.push_back(respond);
+            is_held = true;
+        }));
+    auto const post = [](std::string const& path) {
+        return "POST " + path + " HTTP/1.1\r\nHost: h\r\n" +
+               "Content-Length: 700\r\n\r\n" + std::string(700, 'x');
+    };
+    auto const received = talk([&](support::raw_socket const& connection) {
+        support::raw_socket const holder(address);
+        holder.send(post("/held"));
+        while (!is_held)
+            std::this_thread::sleep_for(1ms);
+        connection.send(post("/refused"));
+        auto const refusal = connection.receive_some();
+        connection.send(get("/next", true));
+        return refusal + connection.receive_all(receive_timeout);
+    });
+    EXPECT_THAT(received, StartsWith("HTTP/1.1 503 "));
+    EXPECT_THAT(received, HasSubstr("Retry-After: 1\r\n"));
+    EXPECT_THAT(received, HasSubstr("HTTP/1.1 200 "));
+    EXPECT_THAT(handled, testing::ElementsAre("/held", "/next"));
+    server.reset();
+}
+
 // Guards against a response that is sent on a connection that has gone.
 TEST_F(http_connection_test, drops_the_response_to_a_client_that_has_left)
 {
