event: Convert durations for libevent in one place

Cause: http_connection had a second to_timeval(), beside that of event_loop, and http_server kept a reference to itself that it did not need.

Change: event/timeval.hpp has the conversion, with the bound of event_loop's: a negative duration is 0.

Result: no behaviour changes for the limits in use. 761 unit tests pass, the 20 crowd tests of the entry's customers' port and the agent's notices' port, and soak.short; format and linter report nothing for the files changed.

--- a/packages/event/event_loop.cpp
+++ b/packages/event/event_loop.cpp
@@ -1,5 +1,7 @@
 #include "event/event_loop.hpp"
 
+#include "event/timeval.hpp"
+
 #include <event2/event.h>
 
 #include <utility>
@@ -8,12 +10,6 @@
 
 namespace {
 
-timeval to_timeval(core::duration time)
-{
-    auto const milliseconds = std::max<std::int64_t>(time.count(), 0);
-    return {milliseconds / 1000, (milliseconds % 1000) * 1000};
-}
-
 /// A libevent timer or signal event that calls a function object.
 class event_timer final : public timer
 {
--- a/packages/event/http_connection.cpp
+++ b/packages/event/http_connection.cpp
@@ -1,5 +1,7 @@
 #include "event/http_connection.hpp"
 
+#include "event/timeval.hpp"
+
 #include <algorithm>
 #include <string_view>
 #include <utility>
@@ -19,11 +21,6 @@
 constexpr std::size_t max_discarded_bytes = 4'194'304;
 constexpr int header_too_large = 431;
 
-timeval to_timeval(core::duration time)
-{
-    return {time.count() / 1000, (time.count() % 1000) * 1000};
-}
-
 /// @return the largest amount of unread input. A header is parsed only when it
 ///         is complete.
 std::size_t input_limit(http_limits const& limits)
--- a/packages/event/http_server.cpp
+++ b/packages/event/http_server.cpp
@@ -97,9 +97,8 @@
 
 void http_server::accept(int descriptor)
 {
-    http_connection::owner& owner = *this;
     auto connection = http_connection::create(loop_, pool_, descriptor, limits_,
-                                              owner, open_requests_);
+                                              *this, open_requests_);
     if (connection == nullptr)
         return;
     auto* const key = connection.get();
