Review case 8: an executor that goes silent for good keeps its run

Case: an executor goes dark while its agent runs on; the agent takes each look that gets no answer as an extension of the lease, so the run there never ends and its task never runs again (LOST). The stand-ins list 500 ends at a time and refuse values over RowBytes.

--- a/review/stand_ins_2/executor.cpp
+++ b/review/stand_ins_2/executor.cpp
@@ -11,6 +11,7 @@
 
 constexpr std::int64_t heartbeat_period = 1500;
 constexpr auto tick = std::chrono::milliseconds(10);
+constexpr std::size_t most_listed_ends = 500;
 
 } // namespace
 
@@ -53,24 +54,34 @@
     log_.add("executor " + id + " begins");
 }
 
-void executor::crash()
+void executor::end_all_runs()
 {
-    if (!is_up_.exchange(false))
-        return;
-    {
-        std::lock_guard const lock(mutex_);
-        for (auto const& [task, run] : running_) {
-            events_[run.event].ended_at = now_ms();
-            events_[run.event].how = "crashed";
-        }
-        running_.clear();
-        ends_.clear();
-        log_.add("executor " + id_ + " ends");
+    std::lock_guard const lock(mutex_);
+    for (auto const& [task, run] : running_) {
+        events_[run.event].ended_at = now_ms();
+        events_[run.event].how = "crashed";
     }
+    running_.clear();
+    ends_.clear();
+    log_.add("executor " + id_ + " ends");
+}
+
+void executor::crash()
+{
+    if (is_up_.exchange(false))
+        end_all_runs();
     ended_.notify_all();
     server_.reset();
 }
 
+void executor::go_dark()
+{
+    is_dark_ = true;
+    if (is_up_.exchange(false))
+        end_all_runs();
+    ended_.notify_all();
+}
+
 void executor::drain(std::int64_t remaining_ms)
 {
     std::lock_guard const lock(mutex_);
@@ -219,6 +230,8 @@
     }
     json finished = json::array();
     for (auto const& item : ends_) {
+        if (finished.size() == most_listed_ends)
+            break;
         auto const& event = events_[item.event];
         finished.push_back({item.number, event.task, event.run, event.how, ""});
     }
--- a/review/stand_ins_2/executor.hpp
+++ b/review/stand_ins_2/executor.hpp
@@ -61,6 +61,9 @@
     void begin(std::string const& id);
     /// Ends at once, as in a crash. New connections are refused.
     void crash();
+    /// Ends at once and for good, without a sign: its connections stay open and
+    /// silent, and new ones as well.
+    void go_dark();
     /// Says that it drains, and leaves some time after that is acknowledged.
     void drain(std::int64_t remaining_ms);
 
@@ -96,6 +99,7 @@
     http_response make_reply(int status, nlohmann::json body) const;
     void extend_lease(nlohmann::json const& call);
     void end(std::string const& task, std::string const& how);
+    void end_all_runs();
     void work();
     void send_heartbeats();
     std::string describe();
@@ -119,6 +123,7 @@
     std::int64_t leaves_at_ = 0;
     std::int64_t remaining_ms_ = 0;
     std::atomic<bool> is_up_{false};
+    std::atomic<bool> is_dark_{false};
     std::atomic<bool> is_draining_{false};
     std::atomic<bool> has_left_{false};
     std::atomic<bool> is_acknowledged_{false};
--- a/review/stand_ins_2/platform_store.cpp
+++ b/review/stand_ins_2/platform_store.cpp
@@ -16,6 +16,8 @@
 /// How long the store takes for an answer.
 constexpr auto answer_time = std::chrono::milliseconds(4);
 constexpr std::size_t most_rows = 500;
+/// RowBytes, 65,536, in Base64.
+constexpr std::size_t most_value_letters = 87'384;
 
 platform_store::row_key key_from(json const& element)
 {
@@ -113,10 +115,15 @@
     }
     if (!is_met)
         return make_reply(412, {{"rows", current}});
+    auto const puts = call.value("Puts", json::array());
+    for (auto const& element : puts) {
+        if (element.value("Value", "").size() > most_value_letters)
+            return {400, "{}"};
+    }
     ++version_;
     for (auto const& element : call.value("Remove", json::array()))
         remove(key_from(element));
-    for (auto const& element : call.value("Puts", json::array()))
+    for (auto const& element : puts)
         write(key_from(element), element.value("Value", ""));
     changed_.notify_all();
     return make_reply(200, json::object());
