scheduler: Log why tasks wait for long

The decider now logs tasks_wait once a step has waited for 10 s, and again when the reason changes. Decisions are unchanged.

Test: scheduler_core_test.names_the_reason_of_a_wait_once.

--- a/packages/placement/placement_round.cpp
+++ b/packages/placement/placement_round.cpp
@@ -69,21 +69,39 @@
         }
         if (fit.workers.size() == group.count)
             return;
-        if (waits_for_headroom(group) && is_mostly_idle(group.service))
-            return;
         auto unplaced = group;
         unplaced.count -= fit.workers.size();
-        if (reserve_after_stops(unplaced))
-            return;
-        if (unplaced.preemption_budget > 0 && preempt(unplaced))
-            return;
-        if (unplaced.can_reserve)
-            reserve(unplaced);
+        auto& wait = result_.unplaced.emplace_back();
+        wait.group = index;
+        wait.tasks = unplaced.count;
+        wait.reason = make_wait(group, unplaced);
     }
 
     round_result take_result() { return std::move(result_); }
 
 private:
+    /// Reserves resources for the tasks of a group that do not fit, and
+    /// preempts running groups, if it is entitled to it.
+    /// @param whole the group with all its tasks
+    /// @param group the group with those that do not fit
+    /// @return why it waits
+    wait_reason make_wait(waiting_group const& whole, waiting_group& group)
+    {
+        bool const is_held_back = waits_for_headroom(whole);
+        if (is_held_back && is_mostly_idle(group.service))
+            return wait_reason::headroom;
+        if (reserve_after_stops(group))
+            return wait_reason::stops;
+        if (group.preemption_budget > 0 && preempt(group))
+            return wait_reason::stops;
+        if (group.can_reserve)
+            reserve(group);
+        if (is_held_back)
+            return wait_reason::headroom;
+        return group.has_rack_preference() ? wait_reason::rack
+                                           : wait_reason::room;
+    }
+
     /// @return the best fit that leaves the accelerator headroom of the group
     ///         free; places fewer tasks if necessary
     group_fit fit_outside_headroom(waiting_group const& group) const
@@ -250,6 +268,21 @@
 
 } // namespace
 
+std::string_view name(wait_reason reason)
+{
+    switch (reason) {
+    case wait_reason::room:
+        return "no worker has room";
+    case wait_reason::rack:
+        return "no worker of a suitable rack has room";
+    case wait_reason::headroom:
+        return "room is kept for urgent work";
+    case wait_reason::stops:
+        return "runs are being stopped for it";
+    }
+    return "";
+}
+
 std::vector<std::string> find_agents(std::span<worker const> workers,
                                      waiting_group const& group,
                                      jobs::resources worker::*available)
--- a/packages/placement/placement_round.hpp
+++ b/packages/placement/placement_round.hpp
@@ -9,6 +9,7 @@
 #include <set>
 #include <span>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace sequoiaroute::placement {
@@ -90,6 +91,11 @@
     /// Ignores the rack constraints, because waiting longer would cost more
     /// than running on other racks.
     bool is_any_rack_allowed = false;
+    /// @return whether only some racks suit it
+    bool has_rack_preference() const
+    {
+        return !is_any_rack_allowed && (is_rack_local || !data_rack.empty());
+    }
     /// The number of accelerators of its service that must stay free for
     /// urgent work when the group is placed.
     std::int64_t accelerator_headroom = 0;
@@ -132,9 +138,30 @@
     std::vector<std::string> agents; ///< one for each placed task
 };
 
+/// Why tasks of a group were not placed.
+enum class wait_reason
+{
+    room,     ///< they fit on no worker that they may use
+    rack,     ///< they fit on none of the racks that suit them
+    headroom, ///< they would take what is kept free for urgent work
+    stops,    ///< their room is used by runs that are being stopped
+};
+
+/// @return a reason as text for log lines
+std::string_view name(wait_reason reason);
+
+/// Tasks of a group that were not placed.
+struct unplaced_group
+{
+    std::size_t group = 0; ///< index into the waiting groups
+    std::size_t tasks = 0;
+    wait_reason reason = wait_reason::room;
+};
+
 struct round_result
 {
     std::vector<placed_group> placed;
+    std::vector<unplaced_group> unplaced;
     std::vector<std::size_t> stopped; ///< indexes of running groups to preempt
 };
 
--- a/packages/scheduler/change_log.cpp
+++ b/packages/scheduler/change_log.cpp
@@ -91,4 +91,16 @@
     }
 }
 
+void log_waits(std::span<step_wait const> waits)
+{
+    for (auto const& wait : waits) {
+        core::log_decision("tasks_wait",
+                           {{"job", wait.job_id},
+                            {"occurrence", wait.step.occurrence},
+                            {"step", wait.step.step},
+                            {"tasks", static_cast<std::int64_t>(wait.tasks)},
+                            {"reason", std::string(name(wait.reason))}});
+    }
+}
+
 } // namespace sequoiaroute::scheduler
--- a/packages/scheduler/change_log.hpp
+++ b/packages/scheduler/change_log.hpp
@@ -3,6 +3,7 @@
 #include "jobs/job_spec.hpp"
 #include "rows/row_store.hpp"
 #include "scheduler/change_list.hpp"
+#include "scheduler/group_builder.hpp"
 #include "scheduler/worker_view.hpp"
 
 #include <span>
@@ -22,4 +23,7 @@
 /// The lines of the runs do not show for how long.
 void log_lost_agents(std::span<lost_agent const> agents);
 
+/// Logs why tasks wait.
+void log_waits(std::span<step_wait const> waits);
+
 } // namespace sequoiaroute::scheduler
--- a/packages/scheduler/decider_service.cpp
+++ b/packages/scheduler/decider_service.cpp
@@ -373,6 +373,7 @@
                      timers_.now() - started_at);
     request_advice();
     store_speeds();
+    log_waits(core_->new_waits());
     if (changes.empty())
         return;
     log_changes(changes);
--- a/packages/scheduler/group_builder.cpp
+++ b/packages/scheduler/group_builder.cpp
@@ -297,6 +297,7 @@
                     waiting_tasks_of(job, key, occurrence.steps[index]);
                 if (tasks.empty()) {
                     job.waiting_since.erase(key);
+                    job.wait_reasons.erase(key);
                     continue;
                 }
                 if (!is_step_due(job.submission, occurrence, index))
--- a/packages/scheduler/group_builder.hpp
+++ b/packages/scheduler/group_builder.hpp
@@ -28,6 +28,15 @@
     core::time_point latest_start{};
 };
 
+/// Tasks of a step that have waited for a while.
+struct step_wait
+{
+    std::string job_id;
+    step_key step;
+    std::size_t tasks = 0;
+    placement::wait_reason reason = placement::wait_reason::room;
+};
+
 /// Tasks that are stopped together, and the group that represents them in
 /// placement: one task, or all members of a gang.
 struct running_tasks
--- a/packages/scheduler/open_job.hpp
+++ b/packages/scheduler/open_job.hpp
@@ -3,6 +3,7 @@
 #include "core/clock.hpp"
 #include "jobs/progress.hpp"
 #include "jobs/worker_report.hpp"
+#include "placement/placement_round.hpp"
 #include "scheduler/step_advice.hpp"
 
 #include <map>
@@ -64,6 +65,8 @@
     std::map<jobs::task_id, assignment> assignments;
     /// Since when each step has had tasks that could start.
     std::map<step_key, core::time_point> waiting_since;
+    /// Why the tasks of each step wait, as last logged.
+    std::map<step_key, placement::wait_reason> wait_reasons;
     /// When a run of a step last failed or stalled, by agent.
     std::map<step_key, std::map<std::string, core::time_point>>
         failed_at_by_agent;
--- a/packages/scheduler/scheduler_core.cpp
+++ b/packages/scheduler/scheduler_core.cpp
@@ -21,6 +21,9 @@
 /// Non-urgent groups this close to their latest start may use the urgent
 /// headroom.
 constexpr core::duration headroom_use_margin{3000};
+/// The reason of a shorter wait is not logged; under load most tasks wait for
+/// seconds.
+constexpr core::duration min_logged_wait{10'000};
 
 } // namespace
 
@@ -391,6 +394,7 @@
 void scheduler_core::place_tasks(core::time_point now)
 {
     advice_requests_.clear();
+    new_waits_.clear();
     if (start_limits_.are_starts_held)
         return;
     auto const guaranteed = guaranteed_jobs(jobs_, *rules_);
@@ -429,6 +433,8 @@
         if (has_tickets(waiting[index], agents[index], workers, now))
             start_group(waiting[index], agents[index], now);
     }
+    for (auto const& unplaced : result.unplaced)
+        note_wait(waiting[unplaced.group], unplaced, now);
     for (auto const victim : result.stopped) {
         for (auto const& task : running[victim].tasks) {
             auto& job = jobs_.at(task.job_id);
@@ -504,6 +510,22 @@
            });
 }
 
+void scheduler_core::note_wait(waiting_tasks const& tasks,
+                               placement::unplaced_group const& unplaced,
+                               core::time_point now)
+{
+    auto const& first = tasks.tasks.front();
+    auto& job = jobs_.at(first.job_id);
+    auto const key = step_key_of(first);
+    if (now - job.waiting_since.at(key) < min_logged_wait)
+        return;
+    auto const [known, is_new] = job.wait_reasons.emplace(key, unplaced.reason);
+    if (!is_new && known->second == unplaced.reason)
+        return;
+    known->second = unplaced.reason;
+    new_waits_.push_back({first.job_id, key, unplaced.tasks, unplaced.reason});
+}
+
 void scheduler_core::start_group(waiting_tasks const& tasks,
                                  std::span<std::string const> agents,
                                  core::time_point now)
--- a/packages/scheduler/scheduler_core.hpp
+++ b/packages/scheduler/scheduler_core.hpp
@@ -127,6 +127,10 @@
     /// @return the agents whose runs the last round has taken as lapsed
     std::vector<lost_agent> const& lost_agents() const { return lost_agents_; }
 
+    /// @return the steps with tasks that have waited for a while, and for which
+    ///         the last round has found another reason than those before it
+    std::vector<step_wait> const& new_waits() const { return new_waits_; }
+
     /// @return the requests to the advice service that the last round needs,
     ///         the most urgent first
     std::vector<advice_request> const& advice_requests() const
@@ -189,6 +193,10 @@
                      std::span<std::string const> agents,
                      std::span<placement::worker const> workers,
                      core::time_point now);
+    /// Notes why tasks were not placed, if they have waited for a while.
+    void note_wait(waiting_tasks const& tasks,
+                   placement::unplaced_group const& unplaced,
+                   core::time_point now);
     /// Orders the runs of tasks on the agents on which they were placed.
     void start_group(waiting_tasks const& tasks,
                      std::span<std::string const> agents, core::time_point now);
@@ -214,6 +222,7 @@
     run_end_recorder end_recorder_;
     std::vector<advice_request> advice_requests_;
     std::vector<lost_agent> lost_agents_;
+    std::vector<step_wait> new_waits_;
     urgent_headroom urgent_headroom_;
 };
 
--- a/tests/scheduler/scheduler_core_test.cpp
+++ b/tests/scheduler/scheduler_core_test.cpp
@@ -798,6 +798,28 @@
 // A data centre is evacuated while work waits and runs there. Guards against
 // runs that are placed in it, against stopping those that were placed before,
 // and against workers that stay unused after the evacuation.
+// Guards against tasks that wait for long while no log line says for what.
+TEST_F(scheduler_core_test, names_the_reason_of_a_wait_once)
+{
+    add_worker("a");
+    add_job("j", 1, 8);
+    decide();
+    auto bound = make_job("bound", 2, 8);
+    bound.spec.steps[0].data_rack = "r1";
+    core_.add_submission(bound, now_);
+    decide();
+    EXPECT_TRUE(core_.new_waits().empty());
+    now_ += 10s;
+    core_.receive_report(reports_.at("a"), now_);
+    decide();
+    ASSERT_EQ(core_.new_waits().size(), 1U);
+    EXPECT_EQ(core_.new_waits()[0].job_id, "bound");
+    EXPECT_EQ(core_.new_waits()[0].tasks, 2U);
+    EXPECT_EQ(core_.new_waits()[0].reason, placement::wait_reason::rack);
+    decide();
+    EXPECT_TRUE(core_.new_waits().empty());
+}
+
 TEST_F(scheduler_core_test, places_nothing_in_an_evacuated_data_centre)
 {
     add_worker("a");
