placement: Count the tasks worth a wait once, and reuse core::scaled

A group that waits for its racks counted their openings twice a round: one that has tasks worth a wait can start later, so the second count is left to the others. The objective of a job computed its own capped product beside core::scaled. Nothing asks for the capacity of a worker as the room to fill any more, so that branch of available_to() goes. rack_wait.hpp included more than it needs. Two tests share the rack-local gang, and a comment is back above the test that it belongs to. Behaviour and assertions are unchanged.

--- a/packages/placement/group_fit.cpp
+++ b/packages/placement/group_fit.cpp
@@ -122,8 +122,6 @@
                        resources_member available)
 {
     auto usable = worker.*available;
-    if (available == &worker::capacity)
-        return usable;
     for (auto const& hold : worker.holds) {
         if (group.expected_run_time > hold.after / 5 * 4)
             usable = lesser_of(usable, free_at(worker, hold.after));
--- a/packages/placement/group_fit.hpp
+++ b/packages/placement/group_fit.hpp
@@ -10,7 +10,7 @@
 namespace sequoiaroute::placement {
 
 /// A pointer to the member of a worker that holds the resources to fill:
-/// `free`, `free_after_stops` or `capacity`.
+/// `free` or `free_after_stops`.
 using resources_member = jobs::resources worker::*;
 
 /// Indexes of workers over which the tasks of a group may be spread: those on
--- a/packages/placement/placement_round.cpp
+++ b/packages/placement/placement_round.cpp
@@ -88,12 +88,14 @@
         if (reserve_after_stops(group) ||
             (group.preemption_budget > 0 && preempt(group)))
             return note_wait(index, unplaced, wait_reason::stops);
-        if (may_relax && !is_held_back)
-            start_elsewhere(index, group);
-        if (group.count == 0)
-            return true;
-        if (may_relax && !is_held_back && !can_start_later(group))
-            return false;
+        if (may_relax && !is_held_back) {
+            auto const worth_a_wait = tasks_worth_a_wait(group);
+            start_elsewhere(index, group, worth_a_wait);
+            if (group.count == 0)
+                return true;
+            if (worth_a_wait == 0 && !can_start_later(group))
+                return false;
+        }
         if (group.can_reserve)
             reserve(group);
         return note_wait(index, group.count, reason_of(group, is_held_back));
@@ -103,19 +105,19 @@
     /// far as they fit there now. A stop or a reservation there would be in
     /// vain if room on a suitable rack comes first.
     /// @param group the group; updated by what was placed
-    void start_elsewhere(std::size_t index, waiting_group& group)
+    /// @param worth_a_wait the number of its tasks that should wait
+    void start_elsewhere(std::size_t index, waiting_group& group,
+                         std::size_t worth_a_wait)
     {
-        auto const worth_a_wait = tasks_worth_a_wait(group);
-        if (worth_a_wait >= group.count)
+        if (worth_a_wait == group.count)
             return;
         auto relaxed = group;
         relaxed.count -= worth_a_wait;
-        auto const unplaced = relaxed.count;
         while (relaxed.count > 0 && relaxed.has_rack_preference()) {
             relax_racks(relaxed);
             start(index, relaxed);
         }
-        group.count -= unplaced - relaxed.count;
+        group.count = worth_a_wait + relaxed.count;
         group.running_tasks_by_agent =
             std::move(relaxed.running_tasks_by_agent);
     }
--- a/packages/scheduler/job_objective.cpp
+++ b/packages/scheduler/job_objective.cpp
@@ -67,11 +67,10 @@
 {
     auto const& parameters = job.submission.parameters;
     auto const paths = expected_paths(job, run_times);
-    auto const factored = std::min(
-        parameters.objective_factor * static_cast<double>(paths.whole.count()),
-        static_cast<double>(core::max_document_duration.count()));
-    auto const objective = parameters.objective_slack +
-                           core::duration(static_cast<std::int64_t>(factored));
+    auto const factored =
+        std::min(core::scaled(paths.whole, parameters.objective_factor),
+                 core::max_document_duration);
+    auto const objective = parameters.objective_slack + factored;
     job_objective result;
     result.due = job.accepted_at + objective;
     result.useful_until = job.accepted_at + useful_objectives * objective;
--- a/packages/scheduler/rack_wait.hpp
+++ b/packages/scheduler/rack_wait.hpp
@@ -1,7 +1,6 @@
 #pragma once
 
 #include "core/clock.hpp"
-#include "scheduler/open_job.hpp"
 
 namespace sequoiaroute::scheduler {
 
--- a/tests/scheduler/data_rack_test.cpp
+++ b/tests/scheduler/data_rack_test.cpp
@@ -50,6 +50,18 @@
         return job;
     }
 
+    /// @return a gang of two tasks for one rack, with data on none
+    static jobs::submission make_rack_local_gang()
+    {
+        auto gang = make_job("gang", 2s);
+        auto& step = gang.spec.steps[0];
+        step.data_rack.clear();
+        step.task_count = 2;
+        step.is_gang = true;
+        step.is_rack_local = true;
+        return gang;
+    }
+
     /// Adds a job and runs a round.
     /// @return the agents on which its tasks start
     std::vector<std::string> submit(jobs::submission const& job)
@@ -179,13 +191,7 @@
     add_worker("d", "r3");
     ASSERT_EQ(submit(make_lasting_job("lasting")).size(), 1U);
     pass(1s, 100);
-    auto gang = make_job("gang", 2s);
-    auto& step = gang.spec.steps[0];
-    step.data_rack.clear();
-    step.task_count = 2;
-    step.is_gang = true;
-    step.is_rack_local = true;
-    EXPECT_EQ(submit(gang).size(), 2U);
+    EXPECT_EQ(submit(make_rack_local_gang()).size(), 2U);
 }
 
 // Guards against a job that runs three times as long elsewhere although its
@@ -278,13 +284,7 @@
 {
     add_worker("a", "r1");
     add_worker("b", "r2");
-    auto gang = make_job("gang", 2s);
-    auto& step = gang.spec.steps[0];
-    step.data_rack.clear();
-    step.task_count = 2;
-    step.is_gang = true;
-    step.is_rack_local = true;
-    ASSERT_EQ(submit(gang), (agents{"a", "b"}));
+    ASSERT_EQ(submit(make_rack_local_gang()), (agents{"a", "b"}));
     for (auto const& [task, run] : core_.jobs().at("gang").assignments)
         EXPECT_EQ(run.run_time_factor, 3);
 }
--- a/tests/scheduler/scheduler_core_test.cpp
+++ b/tests/scheduler/scheduler_core_test.cpp
@@ -795,9 +795,6 @@
     EXPECT_EQ(decide_starts().size(), 1U);
 }
 
-// A data centre is evacuated while work waits and runs there. Guards against
-// runs that are placed in it, against stopping those that were placed before,
-// and against workers that stay unused after the evacuation.
 // Guards against tasks that wait for long while no log line says for what.
 TEST_F(scheduler_core_test, names_the_reason_of_a_wait_once)
 {
@@ -820,6 +817,9 @@
     EXPECT_TRUE(core_.new_waits().empty());
 }
 
+// A data centre is evacuated while work waits and runs there. Guards against
+// runs that are placed in it, against stopping those that were placed before,
+// and against workers that stay unused after the evacuation.
 TEST_F(scheduler_core_test, places_nothing_in_an_evacuated_data_centre)
 {
     add_worker("a");
