agents: End runs of incarnations that an ended one has replaced

What callers saw: an accepted job is never completed. Its logs are not kept.

Cause: the tracker keeps the incarnations that have ended with a later start than the current one, but drops one as soon as a successor with a later start replaces it. If the time of day is set back before the next restart, nothing shows any more that the dropped one has ended. A run of it that still waited for the confirmation of its stop got neither a stop nor an end, and the worker reported again, so that its run did not lapse either.

Change: an incarnation has also ended if one that has ended replaced it.

--- a/packages/agents/run_tracker.cpp
+++ b/packages/agents/run_tracker.cpp
@@ -70,7 +70,8 @@
     worker_ = worker;
 }
 
-/// Only those are kept that the start times do not show to have ended.
+/// Those that the successor replaces are dropped, since they have ended as long
+/// as it is current, and once it is kept here itself.
 void run_tracker::record_ended_incarnation(jobs::incarnation const& successor)
 {
     ended_incarnations_.insert(worker_.executor);
@@ -221,8 +222,14 @@
 bool run_tracker::is_replaced(tracked_run const& tracked) const
 {
     auto const& ordered = tracked.order.executor;
+    if (ordered == worker_.executor)
+        return false;
+    auto const has_ended_with = [&ordered](jobs::incarnation const& ended) {
+        return ended == ordered || ended.replaces(ordered);
+    };
     return worker_.executor.replaces(ordered) ||
-           ended_incarnations_.contains(ordered);
+           std::any_of(ended_incarnations_.begin(), ended_incarnations_.end(),
+                       has_ended_with);
 }
 
 jobs::run_end run_tracker::end_after_stop(tracked_run const& tracked) const
--- a/packages/agents/run_tracker.hpp
+++ b/packages/agents/run_tracker.hpp
@@ -183,7 +183,8 @@
     /// @return whether the next call for the run may be its start
     static bool awaits_start(tracked_run const& tracked);
     /// @return whether the run was ordered for an incarnation that the current
-    ///         one has replaced, also if its start time is later
+    ///         one, or an earlier one, has replaced, also if its start time is
+    ///         later than that of the current one
     bool is_replaced(tracked_run const& tracked) const;
     /// Ends a run of an earlier incarnation, or determines the call that has to
     /// precede its end.
@@ -198,6 +199,7 @@
     jobs::worker_description worker_;
     bool is_executor_confirmed_ = true;
     /// Earlier incarnations whose start times are later than the current one.
+    /// Those that they replaced have ended as well.
     std::set<jobs::incarnation> ended_incarnations_;
     std::vector<jobs::run_id> runs_without_order_;
     /// The ends in the last snapshot of runs that have no order. The decider
--- a/tests/agents/run_tracker_test.cpp
+++ b/tests/agents/run_tracker_test.cpp
@@ -281,6 +281,75 @@
     EXPECT_EQ(tracker.ended()[0].end, jobs::run_end::lost);
 }
 
+// Guards against a run that never ends, and whose task never runs again: the
+// executor is replaced once more before the stop is confirmed, and the time of
+// day has been set back in between.
+TEST_F(run_tracker_test, ends_a_run_after_two_restarts_of_which_one_goes_back)
+{
+    worker.executor.born_ms = 100;
+    order.executor = worker.executor;
+    tracker.set_executor(worker);
+    tracker.put_order(order, false);
+    answer(next_action(), order_outcome::unknown);
+    now += 1s;
+    worker.executor.born_ms = 200;
+    tracker.set_executor(worker);
+    answer(next_action(), order_outcome::unknown);
+    now += 1s;
+    worker.executor.born_ms = 50;
+    tracker.set_executor(worker);
+    EXPECT_TRUE(tracker.has_replaced_runs());
+    auto const stop = next_action();
+    EXPECT_EQ(stop.type, run_tracker::action::kind::stop);
+    answer(stop, order_outcome::done);
+    tracker.receive_snapshot(snapshot(), now + 10ms);
+    EXPECT_FALSE(tracker.has_replaced_runs());
+    ASSERT_EQ(tracker.ended().size(), 1U);
+    EXPECT_EQ(tracker.ended()[0].end, jobs::run_end::lost);
+}
+
+// Guards against the same when the agent restarts, and finds orders of both
+// earlier incarnations.
+TEST_F(run_tracker_test, ends_runs_of_two_incarnations_with_later_starts)
+{
+    order.executor.born_ms = 100;
+    tracker.put_order(order, true);
+    auto later = order;
+    later.run.task.index = 1;
+    later.executor.born_ms = 200;
+    tracker.put_order(later, true);
+    worker.executor = *tracker.newest_ordered_incarnation();
+    tracker.set_executor(worker);
+    tracker.set_executor_confirmed(false);
+    worker.executor = {"i-2", 50};
+    tracker.set_executor(worker);
+    tracker.set_executor_confirmed(true);
+    EXPECT_TRUE(tracker.next_actions(now, permission::granted).empty());
+    EXPECT_FALSE(tracker.has_replaced_runs());
+    ASSERT_EQ(tracker.ended().size(), 2U);
+    EXPECT_EQ(tracker.ended()[0].end, jobs::run_end::lost);
+    EXPECT_EQ(tracker.ended()[1].end, jobs::run_end::lost);
+}
+
+// Guards against two runs of a task: the current incarnation started before one
+// that has ended, and its runs are taken as ended with that.
+TEST_F(run_tracker_test, keeps_runs_of_a_start_before_that_of_an_ended_one)
+{
+    worker.executor.born_ms = 200;
+    tracker.set_executor(worker);
+    worker.executor.born_ms = 50;
+    tracker.set_executor(worker);
+    order.executor = worker.executor;
+    tracker.put_order(order, false);
+    answer(next_action(), order_outcome::done);
+    auto listing = snapshot();
+    listing.running = {{order.run, "", 10, 100, 0ms}};
+    tracker.receive_snapshot(listing, now);
+    EXPECT_FALSE(tracker.has_replaced_runs());
+    EXPECT_EQ(tracker.running().size(), 1U);
+    EXPECT_TRUE(tracker.next_actions(now, permission::granted).empty());
+}
+
 // Guards against taking the stop that the earlier incarnation confirmed as that
 // of its successor.
 TEST_F(run_tracker_test, stops_a_run_again_after_a_restart)
