tests: Share the set-up of two tests of the scheduler core

Cause: data_rack_test and scheduler_core_test each had the core, the reports, the choice of the start orders and a job of one step.

Change: scheduler_core_fixture has them.

--- a/tests/scheduler/data_rack_test.cpp
+++ b/tests/scheduler/data_rack_test.cpp
@@ -1,8 +1,4 @@
-#include "scheduler/scheduler_core.hpp"
-
-#include "support/worker_reports.hpp"
-
-#include <gtest/gtest.h>
+#include "scheduler/scheduler_core_fixture.hpp"
 
 #include <algorithm>
 
@@ -12,18 +8,15 @@
 using namespace std::chrono_literals;
 
 /// A scheduler core with workers of eight accelerators on several racks.
-class data_rack_test : public testing::Test
+class data_rack_test : public scheduler_core_fixture
 {
 protected:
-    data_rack_test() : core_(scheduler_limits{}) {}
-
     void add_worker(std::string const& agent, std::string const& rack)
     {
         auto report = support::make_worker_report(agent);
         report.worker.rack = rack;
         report.worker.labels = {"a", rack};
-        reports_[agent] = report;
-        core_.receive_report(report, now_);
+        scheduler_core_fixture::add_worker(report);
     }
 
     /// @return a job whose data are on rack r1, of tasks that need a worker
@@ -31,16 +24,11 @@
     static jobs::submission make_job(std::string const& id,
                                      core::duration estimate)
     {
-        jobs::submission job;
-        job.job_id = id;
-        job.customer = "press";
-        job.parameters = {"q", "s", 1, 2, 3, 1s};
         jobs::step_spec step;
         step.task = {52'000, 150'000, 8};
         step.estimate = estimate;
         step.data_rack = "r1";
-        job.spec.steps = {step};
-        return job;
+        return make_job_of(id, step);
     }
 
     static jobs::submission make_lasting_job(std::string const& id)
@@ -67,19 +55,17 @@
     std::vector<std::string> submit(jobs::submission const& job)
     {
         core_.add_submission(job, now_);
-        return decide_starts();
+        return start_tasks();
     }
 
-    std::vector<std::string> decide_starts()
+    /// Runs a round.
+    /// @return the agents on which tasks start
+    std::vector<std::string> start_tasks()
     {
         std::vector<std::string> agents;
-        for (auto const& change : core_.decide({now_, 5'000'000, now_})) {
-            for (auto const& order : change.orders) {
-                if (order.action != order_change::action_type::start)
-                    continue;
-                agents.push_back(order.order.agent);
-                running_[order.order.agent] = order.order.run;
-            }
+        for (auto const& order : decide_starts()) {
+            agents.push_back(order.agent);
+            running_[order.agent] = order.run;
         }
         std::sort(agents.begin(), agents.end());
         return agents;
@@ -106,7 +92,7 @@
         for (core::duration waited{0}; waited < limit; waited += 500ms) {
             pass(500ms, percent);
             percent = percent == 98 ? 99 : 98;
-            if (auto starts = decide_starts(); !starts.empty())
+            if (auto starts = start_tasks(); !starts.empty())
                 return starts;
         }
         return {};
@@ -114,10 +100,7 @@
 
     using agents = std::vector<std::string>;
 
-    core::time_point now_{1000s};
-    std::map<std::string, jobs::worker_report> reports_;
     std::map<std::string, jobs::run_id> running_;
-    scheduler_core core_;
 };
 
 // Guards against a job that waits without end for its data rack, which a
@@ -209,7 +192,7 @@
     report.ended = {{{{"first", 0, 0, 0}, 1}, jobs::run_end::done, {}}};
     now_ += 2s;
     core_.receive_report(report, now_);
-    EXPECT_EQ(decide_starts(), agents{"a"});
+    EXPECT_EQ(start_tasks(), agents{"a"});
 }
 
 // Guards against a wide step of which all tasks wait because some can start
@@ -249,13 +232,13 @@
     pass(1s, 1);
     for (int count = 0; count < 11; ++count) {
         pass(1s, 1);
-        decide_starts();
+        start_tasks();
     }
     EXPECT_FALSE(
         core_.jobs().at("j").assignments.begin()->second.is_stopping());
     for (int count = 0; count < 12; ++count) {
         pass(1s, 1);
-        decide_starts();
+        start_tasks();
     }
     EXPECT_TRUE(core_.jobs().at("j").assignments.begin()->second.is_stopping());
 }
--- a/tests/scheduler/scheduler_core_test.cpp
+++ b/tests/scheduler/scheduler_core_test.cpp
@@ -1,9 +1,6 @@
-#include "scheduler/scheduler_core.hpp"
+#include "scheduler/scheduler_core_fixture.hpp"
 
 #include "jobs/row_codec.hpp"
-#include "support/worker_reports.hpp"
-
-#include <gtest/gtest.h>
 
 namespace sequoiaroute::scheduler {
 namespace {
@@ -11,16 +8,13 @@
 using namespace std::chrono_literals;
 
 /// A scheduler core with workers of eight accelerators each.
-class scheduler_core_test : public testing::Test
+class scheduler_core_test : public scheduler_core_fixture
 {
 protected:
-    scheduler_core_test() : core_(scheduler_limits{}) {}
-
     void add_worker(std::string const& agent, std::int64_t born_ms = 1)
     {
-        auto const report = support::make_worker_report(agent, born_ms);
-        reports_[agent] = report;
-        core_.receive_report(report, now_);
+        scheduler_core_fixture::add_worker(
+            support::make_worker_report(agent, born_ms));
     }
 
     void add_job(std::string const& id, std::int32_t tasks,
@@ -36,44 +30,16 @@
                                      bool is_gang = false,
                                      std::int32_t priority = 1)
     {
-        jobs::submission job;
-        job.job_id = id;
-        job.customer = "press";
-        job.parameters = {"q", "s", priority, 2, 3, 1s};
         jobs::step_spec step;
         step.task_count = tasks;
         step.task = {1000, 1000, accelerators};
         step.estimate = 10s;
         step.is_gang = is_gang;
-        job.spec.steps = {step};
+        auto job = make_job_of(id, step);
+        job.parameters.priority = priority;
         return job;
     }
 
-    std::vector<job_change> decide()
-    {
-        return core_.decide({now_, unix_ms_, now_});
-    }
-
-    /// @return the orders of one kind among the changes
-    static std::vector<jobs::run_order>
-    orders(std::vector<job_change> const& changes,
-           order_change::action_type kind)
-    {
-        std::vector<jobs::run_order> found;
-        for (auto const& change : changes) {
-            for (auto const& order : change.orders) {
-                if (order.action == kind)
-                    found.push_back(order.order);
-            }
-        }
-        return found;
-    }
-
-    std::vector<jobs::run_order> decide_starts()
-    {
-        return orders(decide(), order_change::action_type::start);
-    }
-
     void report_end(jobs::run_order const& order, jobs::run_end end,
                     std::string checkpoint = {})
     {
@@ -95,11 +61,6 @@
     {
         return core_.jobs().at(id).progress.state;
     }
-
-    core::time_point now_{1000s};
-    std::int64_t unix_ms_ = 5'000'000;
-    std::map<std::string, jobs::worker_report> reports_;
-    scheduler_core core_;
 };
 
 constexpr auto starts = order_change::action_type::start;
