agents: End late runs of incarnations that the agent never knew

What callers see: an accepted job is never completed.

Cause: an order that the store or the decider delivers late, for instance since the decider was frozen before it wrote it, may name an incarnation that only an earlier process of the agent knew. If its start time is later than that of the current one, since the time of day was set back, the agent waited for it to appear, without end: its run got neither a stop nor an end, and the worker went on reporting, so that the run did not lapse.

Change: a list of the current incarnation that was requested after the order arrived shows that the other one has ended. Its run then ends as those of known predecessors do; since the earlier process may have sent the start, a successor of the same id first confirms a stop.

--- a/packages/agents/run_tracker.cpp
+++ b/packages/agents/run_tracker.cpp
@@ -65,6 +65,7 @@
         for (auto& [run, tracked] : runs_) {
             tracked.running.reset();
             tracked.stop_confirmed_at.reset();
+            tracked.unknown_since.reset();
         }
     }
     worker_ = worker;
@@ -152,6 +153,7 @@
     }
     if (snapshot.born_ms != worker_.executor.born_ms)
         return;
+    record_unknown_incarnations(requested_at);
     for (auto& [run, tracked] : runs_) {
         bool const is_listed = listed.contains(run);
         if (is_listed || snapshot.has_all_ends)
@@ -173,6 +175,20 @@
     }
 }
 
+/// The decider knows such an incarnation from an earlier process of the agent,
+/// which may also have sent the start.
+void run_tracker::record_unknown_incarnations(core::time_point requested_at)
+{
+    for (auto& [run, tracked] : runs_) {
+        if (!tracked.unknown_since || *tracked.unknown_since > requested_at)
+            continue;
+        tracked.unknown_since.reset();
+        tracked.may_have_started = true;
+        tracked.has_unanswered_start = true;
+        ended_incarnations_.insert(tracked.order.executor);
+    }
+}
+
 std::vector<run_tracker::action>
 run_tracker::next_actions(core::time_point now, start_permission permission)
 {
@@ -182,7 +198,9 @@
         if (tracked.ended || tracked.is_call_pending || now < tracked.retry_at)
             continue;
         if (tracked.order.executor != worker_.executor) {
-            if (is_executor_confirmed_ && is_replaced(tracked))
+            if (!is_replaced(tracked))
+                tracked.unknown_since = tracked.unknown_since.value_or(now);
+            else if (is_executor_confirmed_)
                 end_replaced(tracked, actions);
             continue;
         }
@@ -334,7 +352,8 @@
            std::any_of(runs_.begin(), runs_.end(), [](auto const& item) {
                auto const& tracked = item.second;
                return !tracked.ended &&
-                      (tracked.awaits_snapshot || tracked.stop_confirmed_at);
+                      (tracked.awaits_snapshot || tracked.stop_confirmed_at ||
+                       tracked.unknown_since);
            });
 }
 
--- a/packages/agents/run_tracker.hpp
+++ b/packages/agents/run_tracker.hpp
@@ -160,6 +160,9 @@
         std::optional<core::time_point> start_confirmed_at;
         /// When the executor confirmed the stop.
         std::optional<core::time_point> stop_confirmed_at;
+        /// Since when the order names an incarnation that is neither the
+        /// current one nor known to have ended.
+        std::optional<core::time_point> unknown_since;
         core::time_point retry_at{};
         std::int32_t failed_starts = 0;
         /// The executor refused the start, or failed to take it too often. A
@@ -174,6 +177,9 @@
 
     /// Records that the current incarnation has ended.
     void record_ended_incarnation(jobs::incarnation const& successor);
+    /// Records that the incarnations of orders have ended that were unknown
+    /// when a snapshot of the current one was requested.
+    void record_unknown_incarnations(core::time_point requested_at);
     void end(tracked_run& tracked, jobs::run_end end_kind,
              std::string checkpoint);
     /// @return whether the order is of an earlier session, and its run is not
@@ -198,7 +204,7 @@
     std::string session_;
     jobs::worker_description worker_;
     bool is_executor_confirmed_ = true;
-    /// Earlier incarnations whose start times are later than the current one.
+    /// Ended incarnations whose start times are later than the current one.
     /// Those that they replaced have ended as well.
     std::set<jobs::incarnation> ended_incarnations_;
     std::vector<jobs::run_id> runs_without_order_;
--- a/tests/agents/agent_service_test.cpp
+++ b/tests/agents/agent_service_test.cpp
@@ -1386,6 +1386,64 @@
         EXPECT_NE(ended.run, order.run);
 }
 
+// Guards against a run that never ends, and whose task never runs again: an
+// order for a predecessor reaches a restarted agent late, and names a later
+// start than the current incarnation, since the time of day was set back.
+TEST_F(agent_service_test, ends_a_late_run_of_a_start_that_it_never_knew)
+{
+    executor.born_ms = 50;
+    begin_with_start_time(50);
+    replace_agent();
+    begin_with_start_time(50);
+    put_order(make_order(0, {"i-0", 100}));
+    timers.advance(1s);
+    EXPECT_EQ(report().worker.executor.born_ms, 50);
+    ASSERT_EQ(report().ended.size(), 1U);
+    EXPECT_EQ(report().ended[0].end, jobs::run_end::lost);
+}
+
+// Guards against two runs of a task: the start that an earlier process of the
+// agent sent to the predecessor has reached its successor of the same id.
+TEST_F(agent_service_test, stops_a_late_run_of_a_start_that_it_never_knew)
+{
+    executor.born_ms = 50;
+    begin_with_start_time(50);
+    replace_agent();
+    begin_with_start_time(50);
+    auto const order = make_order(0, {"i-1", 100});
+    executor.is_stop_busy = true;
+    executor.running[order.run] = order;
+    put_order(order);
+    timers.advance(1s);
+    EXPECT_TRUE(report().ended.empty());
+    executor.is_stop_busy = false;
+    timers.advance(1s);
+    EXPECT_TRUE(executor.running.empty());
+    ASSERT_EQ(report().ended.size(), 1U);
+}
+
+// Guards against a task that runs twice: a restarted agent knows a predecessor
+// from a stale report, and takes an order of the current incarnation as one of
+// an incarnation that has ended.
+TEST_F(agent_service_test, keeps_a_late_run_of_a_start_after_its_stale_report)
+{
+    executor.born_ms = 50;
+    begin_with_start_time(50);
+    replace_agent();
+    executor.born_ms = 100;
+    agent->start();
+    timers.advance(100ms);
+    auto const order = make_order(0, {"i-1", 100});
+    executor.running[order.run] = order;
+    put_order(order);
+    timers.advance(500ms);
+    heartbeat(jobs::worker_state::ready, 100);
+    timers.advance(2s);
+    EXPECT_EQ(report().worker.executor.born_ms, 100);
+    EXPECT_TRUE(report().ended.empty());
+    EXPECT_TRUE(executor.running.contains(order.run));
+}
+
 // Guards against leases that expire because heartbeats of another program
 // arrive faster than the executor answers.
 TEST_F(agent_service_test, extends_its_lease_in_spite_of_many_announcements)
