--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -1,6 +1,7 @@
 #include "soak/fault_injector.hpp"
 #include "soak/processor_limiter.hpp"
 #include "soak/timeline_check.hpp"
+#include "soak/unfinished_job.hpp"
 
 #include <chrono>
 #include <csignal>
@@ -50,6 +51,7 @@
 constexpr core::duration max_visibility_delay{3000};
 /// How long the system is still observed after the last job has ended.
 constexpr core::duration observation_time{1000};
+constexpr std::size_t max_described_jobs = 3;
 
 /// @return the current time by the clock of the logs, in milliseconds
 std::int64_t log_time_ms()
@@ -169,6 +171,22 @@
         }
     }
 
+    /// Prints what the logs show of accepted jobs that have not ended. The
+    /// logs of a CI machine are not kept.
+    void print_unfinished_jobs()
+    {
+        std::size_t printed = 0;
+        for (auto const& [id, job] : system_->checker().jobs()) {
+            if (!job.was_accepted || job.is_cancelled || job.is_completed)
+                continue;
+            if (printed++ == max_described_jobs)
+                return;
+            fmt::print("job {}, last lines of the logs:\n{}", id,
+                       soak::describe_unfinished_job(
+                           id, soak::read_output_lines(directory_)));
+        }
+    }
+
     /// Runs the final checks and prints the results.
     /// @return whether all invariants held
     bool report()
@@ -188,6 +206,7 @@
                    recovery_time_.count(), fault_summary);
         for (auto const& violation : checker.violations())
             fmt::print("broken invariant: {}\n", violation);
+        print_unfinished_jobs();
         auto const exits = system_->processes().reap_unexpected_exits();
         for (auto const& name : exits)
             fmt::print("broken invariant: {} ended by itself\n", name);
--- a/tests/soak/timeline_check.cpp
+++ b/tests/soak/timeline_check.cpp
@@ -1,11 +1,10 @@
 #include "soak/timeline_check.hpp"
 
 #include "programs/explain_command.hpp"
+#include "soak/unfinished_job.hpp"
 
 #include <array>
-#include <fstream>
 #include <string_view>
-#include <vector>
 
 #include <fmt/format.h>
 
@@ -23,14 +22,7 @@
 find_timeline_gap(std::filesystem::path const& directory,
                   std::string const& job)
 {
-    std::vector<std::string> lines;
-    for (auto const& entry : std::filesystem::directory_iterator(directory)) {
-        if (entry.path().extension() != ".output")
-            continue;
-        std::ifstream file(entry.path());
-        for (std::string line; std::getline(file, line);)
-            lines.push_back(line);
-    }
+    auto const lines = read_output_lines(directory);
     auto const timeline = programs::explain(job, lines);
     for (auto const event : expected_events) {
         if (timeline.find(event) == std::string::npos)
