tests: Restart executors in series in the soak

A run whose stop waits for its confirmation while two more incarnations of its executor come, of which the last starts before the first, was never ended.

Change: a fault that restarts an executor three times, with contacts of 20 to 400 ms between the cuts, under the same id, another one, or with an earlier start.

--- a/tests/soak/executor_fault_injector.cpp
+++ b/tests/soak/executor_fault_injector.cpp
@@ -12,6 +12,12 @@
 constexpr core::duration min_drain_time{800};
 constexpr core::duration max_drain_time{4000};
 constexpr core::duration max_quick_restart{300};
+constexpr int restarts_in_series = 3;
+constexpr core::duration max_series_cut{1500};
+/// An agent adopts an incarnation and sends its orders within that time, but
+/// often knows no result yet.
+constexpr core::duration min_contact_time{20};
+constexpr core::duration max_contact_time{400};
 /// Cuts up to about this length may end while an agent still takes the
 /// incarnation that it saw before as confirmed.
 constexpr core::duration max_confirmed_cut{1500};
@@ -32,7 +38,7 @@
     auto const index = random_.below(system_.executor_servers().size());
     target const hit{*system_.executor_servers()[index],
                      *system_.executor_models()[index]};
-    switch (random_.below(10)) {
+    switch (random_.below(11)) {
     case 0:
     case 1:
         return lose_path(hit);
@@ -50,6 +56,8 @@
         return leave(hit);
     case 8:
         return stop_slowly(hit);
+    case 9:
+        return restart_in_series(hit);
     default:
         return fail_runs(hit);
     }
@@ -87,6 +95,29 @@
         duration);
 }
 
+void executor_fault_injector::restart_in_series(target const& hit)
+{
+    using path = executor_faults::path;
+    auto& server = hit.server;
+    core::duration at{0};
+    server.faults.to_agent = path::silent;
+    for (int restart = 0; restart < restarts_in_series; ++restart) {
+        at += random_.between(min_fault_duration, max_series_cut);
+        auto const next = pick_succession();
+        schedule_.call_later(at, [&server, next] {
+            server.faults.to_agent = path::normal;
+            server.restart_unnoticed(next);
+        });
+        at += random_.between(min_contact_time, max_contact_time);
+        schedule_.call_later(
+            at, [&server] { server.faults.to_agent = path::silent; });
+    }
+    at += random_.between(min_fault_duration, max_series_cut);
+    schedule_.begin(
+        "executor restarts in series",
+        [&server] { server.faults.to_agent = path::normal; }, at);
+}
+
 void executor_fault_injector::restart_at_once(target const& hit)
 {
     if (random_.happens(0.5)) {
--- a/tests/soak/executor_fault_injector.hpp
+++ b/tests/soak/executor_fault_injector.hpp
@@ -34,6 +34,10 @@
     void lose_path(target const& hit);
     /// Restarts an executor under its id while its agent cannot reach it.
     void restart_behind_cut(target const& hit);
+    /// Restarts an executor several times. The path returns for a moment after
+    /// each, so that its agent adopts the incarnation, but may not see how the
+    /// runs of those before it end.
+    void restart_in_series(target const& hit);
     void restart_at_once(target const& hit);
     /// Decides how a restarted executor is identified.
     executor_model::succession pick_succession();
