agents: End late runs of an unknown incarnation without an executor

What callers see: an accepted job is never completed.

Cause: the executor has gone, and the agent polls it no more. An order for an incarnation that only an earlier process of the agent knew, and that starts later, is then neither of the current incarnation nor known to have ended, and no list shows it. The agent looked for such orders only once, when it started.

Change: while its executor counts as gone, the agent goes on looking for orders that name a later incarnation, and polls that one as it does after its start. If it does not answer, it counts as gone too, and its runs end. Incarnations that are known to have ended are left out.

--- a/packages/agents/agent_service.cpp
+++ b/packages/agents/agent_service.cpp
@@ -111,6 +111,8 @@
             {{"executor", worker_.executor.id},
              {"orders", static_cast<std::int64_t>(orders_.rows().size())}});
         tick_timer_ = timers_.every(tick_period, [this] {
+            if (worker_.state == jobs::worker_state::gone)
+                infer_executor_from_orders();
             advance_runs();
             poll_executor();
             publish_report_if_due();
@@ -126,9 +128,10 @@
         tracker_.restore_end(ended);
 }
 
-/// Reads from the store may be stale, so that the orders name a newer
-/// incarnation of the executor than the last report does. That incarnation is
-/// then polled to find out what it runs, and whether it still exists.
+/// Reads from the store may be stale, or an order may be delivered late, so
+/// that the orders name a newer incarnation of the executor than the last
+/// report does. That incarnation is then polled to find out what it runs, and
+/// whether it still exists.
 void agent_service::infer_executor_from_orders()
 {
     auto const ordered = tracker_.newest_ordered_incarnation();
--- a/packages/agents/run_tracker.cpp
+++ b/packages/agents/run_tracker.cpp
@@ -237,17 +237,20 @@
     return actions;
 }
 
+bool run_tracker::has_ended(jobs::incarnation const& other) const
+{
+    if (other == worker_.executor)
+        return false;
+    return std::any_of(ended_incarnations_.begin(), ended_incarnations_.end(),
+                       [&other](jobs::incarnation const& ended) {
+                           return ended == other || ended.replaces(other);
+                       });
+}
+
 bool run_tracker::is_replaced(tracked_run const& tracked) const
 {
     auto const& ordered = tracked.order.executor;
-    if (ordered == worker_.executor)
-        return false;
-    auto const has_ended_with = [&ordered](jobs::incarnation const& ended) {
-        return ended == ordered || ended.replaces(ordered);
-    };
-    return worker_.executor.replaces(ordered) ||
-           std::any_of(ended_incarnations_.begin(), ended_incarnations_.end(),
-                       has_ended_with);
+    return worker_.executor.replaces(ordered) || has_ended(ordered);
 }
 
 jobs::run_end run_tracker::end_after_stop(tracked_run const& tracked) const
@@ -340,8 +343,11 @@
 {
     std::optional<jobs::incarnation> newest;
     for (auto const& [run, tracked] : runs_) {
-        if (!newest || tracked.order.executor.replaces(*newest))
-            newest = tracked.order.executor;
+        auto const& ordered = tracked.order.executor;
+        if (has_ended(ordered))
+            continue;
+        if (!newest || ordered.replaces(*newest))
+            newest = ordered;
     }
     return newest;
 }
--- a/packages/agents/run_tracker.hpp
+++ b/packages/agents/run_tracker.hpp
@@ -134,7 +134,8 @@
     ///         preempted runs are
     std::uint64_t urgent_end_count() const { return urgent_end_count_; }
 
-    /// @return the newest incarnation that any order names, if there are orders
+    /// @return the newest incarnation that any order names, but for those that
+    ///         are known to have ended; nothing if there is none
     std::optional<jobs::incarnation> newest_ordered_incarnation() const;
 
     /// @return whether a run cannot proceed until the next snapshot
@@ -188,6 +189,9 @@
     bool needs_stop(tracked_run const& tracked) const;
     /// @return whether the next call for the run may be its start
     static bool awaits_start(tracked_run const& tracked);
+    /// @return whether an incarnation is known to have ended although its start
+    ///         may be later than that of the current one
+    bool has_ended(jobs::incarnation const& other) const;
     /// @return whether the run was ordered for an incarnation that the current
     ///         one, or an earlier one, has replaced, also if its start time is
     ///         later than that of the current one
--- a/tests/agents/agent_incarnations_test.cpp
+++ b/tests/agents/agent_incarnations_test.cpp
@@ -572,6 +572,23 @@
     EXPECT_TRUE(executor.running.contains(order.run));
 }
 
+// Guards against a run that never ends: an order for an incarnation that only
+// an earlier process of the agent knew arrives late, and no executor is there.
+TEST_F(agent_service_test, ends_a_late_run_although_its_executor_has_gone)
+{
+    begin();
+    executor.is_refusing = true;
+    agent->receive_deregistration("i-1", 1);
+    time_until_gone(timers.now());
+    replace_agent();
+    agent->start();
+    timers.advance(1s);
+    put_order(make_order(0, {"i-0", 100}));
+    timers.advance(30s);
+    EXPECT_EQ(report().worker.state, jobs::worker_state::gone);
+    EXPECT_EQ(report().ended.size(), 1U);
+}
+
 // Guards against leases that expire because heartbeats of another program
 // arrive faster than the executor answers.
 TEST_F(agent_service_test, extends_its_lease_in_spite_of_many_announcements)
