--- a/packages/agents/run_tracker.cpp
+++ b/packages/agents/run_tracker.cpp
@@ -71,8 +71,8 @@
     worker_ = worker;
 }
 
-/// Those that the successor replaces are dropped, since they have ended as long
-/// as it is current, and once it is kept here itself.
+/// Those that the successor replaces need not be kept: its start time shows
+/// that they have ended while it is current, and afterwards it is kept itself.
 void run_tracker::record_ended_incarnation(jobs::incarnation const& successor)
 {
     ended_incarnations_.insert(worker_.executor);
