tests: Let the agent fixture set the start of its executor

Cause: ten tests set the start time of the fake executor right before they started the agent beside an executor of that start time.

Change: begin_with_start_time() sets it. No test changed otherwise.

--- a/tests/agents/agent_incarnations_test.cpp
+++ b/tests/agents/agent_incarnations_test.cpp
@@ -300,7 +300,6 @@
 // restarted.
 TEST_F(agent_service_test, uses_an_executor_whose_start_time_has_gone_back)
 {
-    executor.born_ms = 100;
     begin_with_start_time(100);
     auto const order = make_order(0, {"i-1", 100});
     put_order(order);
@@ -321,7 +320,6 @@
 TEST_F(agent_service_test,
        uses_an_executor_whose_start_time_is_before_its_orders)
 {
-    executor.born_ms = 100;
     begin_with_start_time(100);
     auto const order = make_order(0, {"i-1", 100});
     put_order(order);
@@ -341,7 +339,6 @@
 // arrives late, and the runs of the current one count as lost.
 TEST_F(agent_service_test, keeps_its_executor_when_an_earlier_one_is_announced)
 {
-    executor.born_ms = 100;
     begin_with_start_time(100);
     auto const order = make_order(0, {"i-1", 100});
     put_order(order);
@@ -360,7 +357,6 @@
 // back between the two.
 TEST_F(agent_service_test, keeps_its_executor_when_a_later_start_is_announced)
 {
-    executor.born_ms = 100;
     begin_with_start_time(100);
     executor.born_ms = 50;
     heartbeat(jobs::worker_state::ready, 50);
@@ -455,7 +451,6 @@
 // before its executor was replaced by one with an earlier start time.
 TEST_F(agent_service_test, keeps_runs_of_an_earlier_start_than_its_stale_report)
 {
-    executor.born_ms = 100;
     begin_with_start_time(100);
     executor.born_ms = 50;
     auto const order = make_order(0, {"i-9", 50});
@@ -474,7 +469,6 @@
 // Guards against work that is stopped without need: the same under one id.
 TEST_F(agent_service_test, stops_no_run_of_an_earlier_start_than_its_report)
 {
-    executor.born_ms = 100;
     begin_with_start_time(100);
     executor.born_ms = 50;
     auto const order = make_order(0, {"i-1", 50});
@@ -493,7 +487,6 @@
 // the predecessor, which has a later start time than its executor.
 TEST_F(agent_service_test, keeps_runs_beside_an_order_of_a_later_start)
 {
-    executor.born_ms = 100;
     begin_with_start_time(100);
     executor.born_ms = 50;
     announce_executor("i-9", 50);
@@ -519,7 +512,6 @@
 // start than the current incarnation, since the time of day was set back.
 TEST_F(agent_service_test, ends_a_late_run_of_a_start_that_it_never_knew)
 {
-    executor.born_ms = 50;
     begin_with_start_time(50);
     replace_agent();
     begin_with_start_time(50);
@@ -534,7 +526,6 @@
 // agent sent to the predecessor has reached its successor of the same id.
 TEST_F(agent_service_test, stops_a_late_run_of_a_start_that_it_never_knew)
 {
-    executor.born_ms = 50;
     begin_with_start_time(50);
     replace_agent();
     begin_with_start_time(50);
@@ -555,7 +546,6 @@
 // an incarnation that has ended.
 TEST_F(agent_service_test, keeps_a_late_run_of_a_start_after_its_stale_report)
 {
-    executor.born_ms = 50;
     begin_with_start_time(50);
     replace_agent();
     executor.born_ms = 100;
--- a/tests/agents/agent_service_fixture.hpp
+++ b/tests/agents/agent_service_fixture.hpp
@@ -36,6 +36,7 @@
     /// Starts the agent beside an executor that started at a given time.
     void begin_with_start_time(std::int64_t born_ms)
     {
+        executor.born_ms = born_ms;
         agent->start();
         heartbeat(jobs::worker_state::ready, born_ms);
         timers.advance(core::duration(200));
