tests: Read the logs of a soak once

Cause: the check of timelines read all logs again for each completed job, and the description of unfinished jobs for each of those; the function that reads them stood beside the description, which the check does not use.

Change: the lines are read once, by a function in files of its own, and passed to both.

--- a/tests/soak/soak_main.cpp
+++ b/tests/soak/soak_main.cpp
@@ -1,4 +1,5 @@
 #include "soak/fault_injector.hpp"
+#include "soak/output_lines.hpp"
 #include "soak/processor_limiter.hpp"
 #include "soak/timeline_check.hpp"
 #include "soak/unfinished_job.hpp"
@@ -10,6 +11,7 @@
 #include <filesystem>
 #include <map>
 #include <optional>
+#include <span>
 #include <string>
 
 #include <absl/flags/flag.h>
@@ -160,20 +162,20 @@
 
     /// The logs must show a complete timeline of each completed job. Those of
     /// wide jobs may lack lines, since the number of lines is limited.
-    void check_timelines()
+    void check_timelines(std::span<std::string const> lines)
     {
         auto& checker = system_->checker();
         for (auto const& [id, job] : checker.jobs()) {
             if (!job.is_completed || job.is_wide)
                 continue;
-            if (auto const gap = soak::find_timeline_gap(directory_, id))
+            if (auto const gap = soak::find_timeline_gap(id, lines))
                 checker.on_timeline_gap(*gap);
         }
     }
 
     /// Prints what the logs show of accepted jobs that have not ended. The
     /// logs of a CI machine are not kept.
-    void print_unfinished_jobs()
+    void print_unfinished_jobs(std::span<std::string const> lines)
     {
         std::size_t printed = 0;
         for (auto const& [id, job] : system_->checker().jobs()) {
@@ -182,8 +184,7 @@
             if (printed++ == max_described_jobs)
                 return;
             fmt::print("job {}, last lines of the logs:\n{}", id,
-                       soak::describe_unfinished_job(
-                           id, soak::read_output_lines(directory_)));
+                       soak::describe_unfinished_job(id, lines));
         }
     }
 
@@ -192,8 +193,9 @@
     bool report()
     {
         auto& checker = system_->checker();
+        auto const lines = soak::read_output_lines(directory_);
         checker.check_final_state();
-        check_timelines();
+        check_timelines(lines);
         std::size_t accepted = 0;
         for (auto const& [id, job] : checker.jobs())
             accepted += job.was_accepted ? 1 : 0;
@@ -206,7 +208,7 @@
                    recovery_time_.count(), fault_summary);
         for (auto const& violation : checker.violations())
             fmt::print("broken invariant: {}\n", violation);
-        print_unfinished_jobs();
+        print_unfinished_jobs(lines);
         auto const exits = system_->processes().reap_unexpected_exits();
         for (auto const& name : exits)
             fmt::print("broken invariant: {} ended by itself\n", name);
--- a/tests/soak/timeline_check.cpp
+++ b/tests/soak/timeline_check.cpp
@@ -1,7 +1,6 @@
 #include "soak/timeline_check.hpp"
 
 #include "programs/explain_command.hpp"
-#include "soak/unfinished_job.hpp"
 
 #include <array>
 #include <string_view>
@@ -18,11 +17,9 @@
 
 } // namespace
 
-std::optional<std::string>
-find_timeline_gap(std::filesystem::path const& directory,
-                  std::string const& job)
+std::optional<std::string> find_timeline_gap(std::string const& job,
+                                             std::span<std::string const> lines)
 {
-    auto const lines = read_output_lines(directory);
     auto const timeline = programs::explain(job, lines);
     for (auto const event : expected_events) {
         if (timeline.find(event) == std::string::npos)
--- a/tests/soak/unfinished_job.cpp
+++ b/tests/soak/unfinished_job.cpp
@@ -1,10 +1,11 @@
 #include "soak/unfinished_job.hpp"
 
+#include "programs/log_reader.hpp"
+
 #include <algorithm>
-#include <fstream>
 #include <map>
 #include <set>
-#include <string_view>
+#include <vector>
 
 #include <fmt/format.h>
 
@@ -68,20 +69,6 @@
 
 } // namespace
 
-std::vector<std::string>
-read_output_lines(std::filesystem::path const& directory)
-{
-    std::vector<std::string> lines;
-    for (auto const& entry : std::filesystem::directory_iterator(directory)) {
-        if (entry.path().extension() != ".output")
-            continue;
-        std::ifstream file(entry.path());
-        for (std::string line; std::getline(file, line);)
-            lines.push_back(line);
-    }
-    return lines;
-}
-
 std::string describe_unfinished_job(std::string const& job,
                                     std::span<std::string const> lines)
 {
--- a/tests/soak/unfinished_job.hpp
+++ b/tests/soak/unfinished_job.hpp
@@ -1,19 +1,10 @@
 #pragma once
 
-#include "programs/log_reader.hpp"
-
-#include <filesystem>
 #include <span>
 #include <string>
-#include <vector>
 
 namespace sequoiaroute::soak {
 
-/// @param directory contains the output files of the processes
-/// @return the lines of all output files
-std::vector<std::string>
-read_output_lines(std::filesystem::path const& directory);
-
 /// Selects what the logs show of a job that does not end: the events of its
 /// runs that have not ended and of the executors of their agents, or those of
 /// the job itself if all its runs have ended.
